--- /dev/null
+++ b/cmd/monsoonstep-node/main.go
@@ -0,0 +1,10 @@
+// The program monsoonstep-node runs balancers and agents on the users' platform.
+package main
+
+import (
+	"os"
+
+	"monsoonstep/platform"
+)
+
+func main() { os.Exit(platform.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/core/coord/gate/inbound.go
@@ -0,0 +1,150 @@
+package gate
+
+import (
+	"net/netip"
+	"time"
+
+	"monsoonstep/core/coord/relay"
+	"monsoonstep/core/state"
+)
+
+// Receive handles a message of a balancer. The segment is the message's packet, decoded.
+func (g *Gate) Receive(now time.Time, from netip.AddrPort, m relay.Message, seg state.Segment) {
+	switch m.Kind {
+	case relay.KindOpen:
+		g.receiveOpen(now, from, m, seg)
+	case relay.KindData, relay.KindAsk:
+		g.receiveData(now, from, m, seg)
+	}
+}
+
+func (g *Gate) receiveOpen(now time.Time, from netip.AddrPort, m relay.Message, seg state.Segment) {
+	if f, known := g.flows[seg.Flow]; known && f.phase != closed {
+		f.balancer = from
+		f.last = now
+		g.do.Deliver(seg.Packet)
+		return
+	}
+	reason := g.refusal()
+	if m.Service != g.settings.Service.ID() {
+		reason = relay.ReasonMisdirected
+	}
+	if reason != relay.ReasonNone {
+		g.refuse(now, from, seg, reason)
+		return
+	}
+	g.flows[seg.Flow] = &flow{phase: offered, balancer: from, since: now, last: now}
+	g.do.Deliver(seg.Packet)
+}
+
+// refuse gives an opening packet back to its balancer.
+func (g *Gate) refuse(now time.Time, to netip.AddrPort, seg state.Segment, reason relay.Reason) {
+	g.do.Note(relay.Decision{
+		Event: relay.EventTurnedAway, Flow: seg.Flow, Peer: to, Reason: reason, Age: now.Sub(g.target.heard),
+	})
+	g.do.Send(to, relay.Message{Kind: relay.KindRefused, Flow: seg.Flow, Reason: reason, Packet: seg.Packet})
+}
+
+func (g *Gate) receiveData(now time.Time, from netip.AddrPort, m relay.Message, seg state.Segment) {
+	f, known := g.flows[seg.Flow]
+	if known {
+		f.balancer = from
+		g.deliver(now, f, seg)
+		if m.Kind == relay.KindAsk && f.phase == open {
+			g.sendHeld(from, seg.Flow)
+		}
+		return
+	}
+	if m.Service != g.settings.Service.ID() || g.complete(now) {
+		g.notHeld(from, m, seg)
+		return
+	}
+	f = &flow{phase: probing, balancer: from, since: now, last: now, withPacket: m.Kind == relay.KindData}
+	g.flows[seg.Flow] = f
+	g.deliver(now, f, seg)
+}
+
+// notHeld tells a balancer that the flow is not here. A packet that came with an ask went to others too.
+func (g *Gate) notHeld(to netip.AddrPort, m relay.Message, seg state.Segment) {
+	answer := relay.Message{Kind: relay.KindNotHeld, Flow: seg.Flow}
+	if m.Kind == relay.KindData {
+		answer.Packet = seg.Packet
+	}
+	g.do.Note(relay.Decision{Event: relay.EventNotHeld, Flow: seg.Flow, Peer: to})
+	g.do.Send(to, answer)
+}
+
+// deliver hands a client's packet to the target and follows what it does to the flow.
+func (g *Gate) deliver(now time.Time, f *flow, seg state.Segment) {
+	f.last = now
+	if seg.Acknowledges {
+		f.acknowledged = seg.Acknowledged
+	}
+	if seg.DataLen > 0 {
+		g.startRequest(now, f)
+	}
+	if seg.Finishes {
+		f.finClient = true
+	}
+	g.do.Deliver(seg.Packet)
+	if seg.Resets {
+		g.closeFlow(seg.Flow, f)
+	}
+	g.closeIfFinished(seg.Flow, f)
+}
+
+func (g *Gate) startRequest(now time.Time, f *flow) {
+	if f.busy || f.phase == closed {
+		return
+	}
+	f.busy = true
+	f.busySince = now
+	g.busy++
+	f.sample = g.busy <= max(1, g.target.slots)
+}
+
+func (g *Gate) endRequest(now time.Time, f *flow) {
+	if !f.busy {
+		return
+	}
+	f.busy = false
+	g.busy--
+	if !f.sample {
+		return
+	}
+	took := now.Sub(f.busySince)
+	if g.serviceTime == 0 {
+		g.serviceTime = took
+		return
+	}
+	g.serviceTime += time.Duration(smoothing * float64(took-g.serviceTime))
+}
+
+func (g *Gate) closeIfFinished(id state.FlowID, f *flow) {
+	if f.finClient && f.finTarget && f.phase != closed {
+		g.closeFlow(id, f)
+	}
+}
+
+func (g *Gate) closeFlow(id state.FlowID, f *flow) {
+	g.release(f)
+	f.phase = closed
+	g.do.Note(relay.Decision{Event: relay.EventEnded, Flow: id})
+}
+
+// release takes a flow out of the counts.
+func (g *Gate) release(f *flow) {
+	if f.busy {
+		f.busy = false
+		g.busy--
+	}
+	if f.phase == open {
+		g.held--
+	}
+}
+
+// forget drops a flow.
+func (g *Gate) forget(id state.FlowID, f *flow) {
+	g.release(f)
+	delete(g.flows, id)
+}
--- /dev/null
+++ b/core/coord/gate/target.go
@@ -0,0 +1,257 @@
+package gate
+
+import (
+	"time"
+
+	"monsoonstep/core/coord/relay"
+	"monsoonstep/core/state"
+)
+
+// TargetID names one start of a target, as the target itself gives it.
+type TargetID string
+
+// Heartbeat is what a target says of itself.
+type Heartbeat struct {
+	ID TargetID
+	// Born is when the target started, by its own clock; zero if it does not say.
+	Born     state.Millis
+	Sequence uint64
+	Service  state.ServiceName
+	Slots    int
+	Draining bool
+	// Warmup is how much longer the target stays slow after its start.
+	Warmup time.Duration
+}
+
+// Verdict is what became of a heartbeat.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Taken heartbeats describe the target now.
+	Taken Verdict = iota
+	// Late heartbeats of the present target came after a newer one; they change nothing.
+	Late
+	// Stale heartbeats come from an earlier start of the target.
+	Stale
+	// Foreign heartbeats are of another service.
+	Foreign
+)
+
+// firstSequence is the sequence number of a target's first heartbeats: a gate that hears it has seen the target start.
+const firstSequence = 1
+
+// target is what the gate knows of its target.
+type target struct {
+	known    bool
+	id       TargetID
+	born     state.Millis
+	sequence uint64
+	slots    int
+	draining bool
+	// gone is set when the target left or fell silent.
+	gone      bool
+	warmUntil time.Time
+	// heard is when the last heartbeat came; lastOut when the last packet came.
+	heard   time.Time
+	lastOut time.Time
+	// complete is true if every flow of the target went through this gate.
+	complete bool
+	// past has the ids of earlier starts.
+	past map[TargetID]bool
+}
+
+// Heartbeat takes in what the target says of itself.
+func (g *Gate) Heartbeat(now time.Time, h Heartbeat) Verdict {
+	if h.Service != g.settings.Service {
+		return Foreign
+	}
+	t := &g.target
+	if !t.isSame(h) {
+		if g.isEarlier(now, h) {
+			return Stale
+		}
+		g.begin(now, h)
+	} else if h.Sequence < t.sequence {
+		return Late
+	}
+	g.refresh(now, h)
+	return Taken
+}
+
+// isSame reports whether a heartbeat comes from the start of the target that the gate knows. A target that was
+// only vouched for has no time of birth yet.
+func (t *target) isSame(h Heartbeat) bool {
+	return t.known && h.ID == t.id && (t.born == 0 || h.Born == t.born)
+}
+
+// isEarlier reports whether a heartbeat that names another start comes from a former one. Ids decide where they can,
+// since the time of day may jump; the time of birth decides between unknown ids, unless the present target is silent.
+func (g *Gate) isEarlier(now time.Time, h Heartbeat) bool {
+	t := &g.target
+	if !t.known {
+		return false
+	}
+	if h.ID == t.id {
+		return h.Born < t.born
+	}
+	if t.past[h.ID] {
+		return true
+	}
+	silent := t.gone || now.Sub(t.heard) > 2*g.settings.HeartbeatPeriod
+	return h.Born < t.born && !silent
+}
+
+// begin starts a new target: what the former one held is gone.
+func (g *Gate) begin(now time.Time, h Heartbeat) {
+	former := g.target
+	past := former.past
+	if past == nil {
+		past = make(map[TargetID]bool)
+	}
+	if former.known {
+		past[former.id] = true
+		delete(past, h.ID)
+		g.dropAll(now)
+	}
+	g.target = target{
+		known:    true,
+		id:       h.ID,
+		born:     h.Born,
+		complete: former.known || h.Sequence <= firstSequence,
+		past:     past,
+	}
+}
+
+func (g *Gate) refresh(now time.Time, h Heartbeat) {
+	t := &g.target
+	started := !g.takes()
+	if t.born == 0 {
+		t.born = h.Born
+		t.complete = t.complete || h.Sequence <= firstSequence
+	}
+	wasDraining := t.draining
+	age := now.Sub(t.heard)
+	t.sequence = h.Sequence
+	t.slots = h.Slots
+	t.draining = h.Draining
+	t.warmUntil = now.Add(h.Warmup)
+	t.heard = now
+	t.gone = false
+	switch {
+	case t.draining && !wasDraining:
+		g.do.Note(relay.Decision{Event: relay.EventTargetDraining, Peer: g.settings.Self, Count: g.held})
+		g.report(now)
+	case started && g.takes():
+		g.do.Note(relay.Decision{Event: relay.EventTargetReady, Peer: g.settings.Self, Age: age})
+		g.report(now)
+	}
+}
+
+// Vouch notes that the target answered a health check well and named itself, before its first heartbeat.
+func (g *Gate) Vouch(now time.Time, id TargetID) {
+	if g.target.known {
+		return
+	}
+	g.target = target{known: true, id: id, heard: now}
+	g.do.Note(relay.Decision{Event: relay.EventTargetReady, Peer: g.settings.Self})
+	g.report(now)
+}
+
+// Deregister notes that a target said that it ends. It reports whether it is the present one.
+func (g *Gate) Deregister(now time.Time, id TargetID) bool {
+	if !g.target.known || g.target.id != id {
+		return false
+	}
+	g.targetGone(now)
+	return true
+}
+
+// targetGone resets the flows of a target that has ended.
+func (g *Gate) targetGone(now time.Time) {
+	if g.target.gone {
+		return
+	}
+	g.target.gone = true
+	g.target.complete = true
+	g.do.Note(relay.Decision{Event: relay.EventTargetGone, Peer: g.settings.Self, Age: now.Sub(g.target.heard), Count: g.held})
+	g.dropAll(now)
+	g.report(now)
+}
+
+// dropAll resets every open flow towards its client.
+func (g *Gate) dropAll(now time.Time) {
+	for id, f := range g.flows {
+		if f.phase == open {
+			g.do.Reset(id, f.acknowledged)
+			g.do.Note(relay.Decision{Event: relay.EventReset, Flow: id, Age: now.Sub(f.last)})
+		}
+		g.forget(id, f)
+	}
+}
+
+// watchTarget finds out that a target has fallen silent.
+func (g *Gate) watchTarget(now time.Time) {
+	t := &g.target
+	if !t.known || t.gone {
+		return
+	}
+	limit := time.Duration(missedHeartbeats * float64(g.settings.HeartbeatPeriod))
+	if now.Sub(t.heard) > limit && now.Sub(t.lastOut) > g.settings.HeartbeatPeriod {
+		g.targetGone(now)
+	}
+}
+
+// takes reports whether the target may be given new flows.
+func (g *Gate) takes() bool { return g.refusal() == relay.ReasonNone }
+
+// refusal returns why the target may not be given new flows.
+func (g *Gate) refusal() relay.Reason {
+	switch {
+	case g.stopping:
+		return relay.ReasonStopping
+	case !g.target.known || g.target.gone:
+		return relay.ReasonNotReady
+	case g.target.draining:
+		return relay.ReasonDraining
+	default:
+		return relay.ReasonNone
+	}
+}
+
+// complete reports whether the gate knows every flow that the target holds.
+func (g *Gate) complete(now time.Time) bool {
+	return g.target.known && g.target.complete || now.After(g.unsureUntil)
+}
+
+// Phase returns how far the target is in its life.
+func (g *Gate) Phase() state.Phase {
+	switch {
+	case !g.target.known || g.target.gone:
+		return state.PhaseStarting
+	case g.target.draining || g.stopping:
+		return state.PhaseDraining
+	default:
+		return state.PhaseServing
+	}
+}
+
+// Summary is what a gate knows, for people.
+type Summary struct {
+	Target      TargetID
+	Phase       state.Phase
+	Refusal     relay.Reason
+	Complete    bool
+	Heard       time.Duration
+	Flows       int
+	Busy        int
+	ServiceTime time.Duration
+}
+
+// Summary returns what the gate knows.
+func (g *Gate) Summary(now time.Time) Summary {
+	return Summary{
+		Target: g.target.id, Phase: g.Phase(), Refusal: g.refusal(), Complete: g.complete(now),
+		Heard: now.Sub(g.target.heard), Flows: g.held, Busy: g.busy, ServiceTime: g.serviceTime,
+	}
+}
--- /dev/null
+++ b/core/coord/gate/tick.go
@@ -0,0 +1,73 @@
+package gate
+
+import (
+	"time"
+
+	"monsoonstep/core/coord/relay"
+)
+
+// Tick lets time pass. It is called every TickPeriod.
+func (g *Gate) Tick(now time.Time) {
+	g.watchTarget(now)
+	g.meanBusy += (float64(g.busy) - g.meanBusy) * min(1, float64(now.Sub(g.lastTick))/float64(meanWindow))
+	g.lastTick = now
+	g.sweep(now)
+	if !now.Before(g.nextReport) {
+		g.report(now)
+	}
+}
+
+// TickPeriod is the longest time between two ticks.
+const TickPeriod = 50 * time.Millisecond
+
+// sweep ends what has waited for too long.
+func (g *Gate) sweep(now time.Time) {
+	for id, f := range g.flows {
+		quiet := now.Sub(f.last)
+		switch {
+		case f.phase == probing && now.Sub(f.since) > probeWait:
+			g.hold(now, f, id)
+		case f.phase == offered && quiet > openWait:
+			g.forget(id, f)
+		case f.phase == closed && quiet > closedAge:
+			g.forget(id, f)
+		case now.Sub(f.since) > g.settings.FlowAge && quiet > closedAge:
+			g.forget(id, f)
+		case f.busy && now.Sub(f.busySince) > busyLimit:
+			f.sample = false
+			g.endRequest(now, f)
+		}
+	}
+}
+
+// report tells every balancer how busy the target is.
+func (g *Gate) report(now time.Time) {
+	period := max(reportPeriod, time.Duration(len(g.owners.All()))*time.Second/reportsPerSecond)
+	g.nextReport = now.Add(period)
+	reason := g.refusal()
+	m := relay.Message{
+		Kind:    relay.KindLoad,
+		Service: g.settings.Service.ID(),
+		Load: relay.Load{
+			Takes:       reason == relay.ReasonNone,
+			Reason:      reason,
+			Busy:        g.busy,
+			MeanBusy:    g.meanBusy,
+			Flows:       g.held,
+			Slots:       g.target.slots,
+			ServiceTime: g.serviceTime,
+			Warmup:      max(0, g.target.warmUntil.Sub(now)),
+			Period:      period,
+		},
+	}
+	for _, b := range g.owners.All() {
+		g.do.Send(b, m)
+	}
+}
+
+// Paused moves what was heard of the target forward by a pause of this process: the target's machine paused too, or its
+// heartbeats still wait to be read.
+func (g *Gate) Paused(gap time.Duration) {
+	g.target.heard = g.target.heard.Add(gap)
+	g.target.lastOut = g.target.lastOut.Add(gap)
+}
--- /dev/null
+++ b/core/coord/relay/decision.go
@@ -0,0 +1,72 @@
+package relay
+
+import (
+	"net/netip"
+	"time"
+
+	"monsoonstep/core/state"
+)
+
+// Event names a decision about a flow, for logs and counters.
+type Event uint8
+
+// The events.
+const (
+	// EventPlaced: a balancer chose a target for a new flow.
+	EventPlaced Event = iota
+	// EventRefused: a balancer reset a new flow that no target takes.
+	EventRefused
+	// EventNoRoute: a balancer reset a flow whose virtual address has no route.
+	EventNoRoute
+	// EventReset: a node reset a flow that no target holds.
+	EventReset
+	// EventSearch: a balancer began to look for the holder of a flow.
+	EventSearch
+	// EventFound: a balancer learnt which agent holds a flow.
+	EventFound
+	// EventAccepted: an agent's target took a new flow.
+	EventAccepted
+	// EventTurnedAway: an agent gave an opening packet back.
+	EventTurnedAway
+	// EventNotHeld: an agent found that its target does not hold a flow.
+	EventNotHeld
+	// EventAdopted: an agent learnt of a flow that its target held already.
+	EventAdopted
+	// EventEnded: a flow ended at its target.
+	EventEnded
+	// EventTargetReady: an agent began to offer its target.
+	EventTargetReady
+	// EventTargetDraining: an agent's target is leaving.
+	EventTargetDraining
+	// EventTargetGone: an agent's target has ended or fallen silent.
+	EventTargetGone
+	// EventCount is the number of events.
+	EventCount
+)
+
+// String returns the event's name in logs and metrics.
+func (e Event) String() string {
+	names := [EventCount]string{
+		"placed", "refused", "noRoute", "reset", "search", "found", "accepted", "turnedAway", "notHeld",
+		"adopted", "ended", "targetReady", "targetDraining", "targetGone",
+	}
+	if e >= EventCount {
+		return "unknown"
+	}
+	return names[e]
+}
+
+// Decision is one decision with the inputs that led to it.
+type Decision struct {
+	Event Event
+	Flow  state.FlowID
+	// Peer is the node or target that the decision is about, if any.
+	Peer   netip.AddrPort
+	Reason Reason
+	// Config is the version of the configuration that was in force.
+	Config state.ConfigVersion
+	// Age is how old the knowledge was that decided: a load report, a heartbeat.
+	Age time.Duration
+	// Count is a number that belongs to the event: targets weighed, answers, flows.
+	Count int
+}
--- /dev/null
+++ b/core/coord/relay/message.go
@@ -0,0 +1,103 @@
+// Package relay holds the messages by which balancers and agents carry the packets of opaque flows, and
+// tell each other where flows are and how busy targets are.
+package relay
+
+import (
+	"net/netip"
+	"time"
+
+	"monsoonstep/core/state"
+)
+
+// Kind is the kind of a message.
+type Kind uint8
+
+// The kinds of message.
+const (
+	// KindOpen carries an opening packet from a balancer to the agent that it chose.
+	KindOpen Kind = iota + 1
+	// KindData carries a packet to the agent that is thought to hold the flow.
+	KindData
+	// KindAsk carries a packet to an agent that may hold the flow; the agent answers held or notHeld.
+	KindAsk
+	// KindRefused gives an opening packet back to its balancer: the target did not take the flow.
+	KindRefused
+	// KindNotHeld tells a balancer that the agent's target does not hold the flow. It carries the packet
+	// unless that came with an ask.
+	KindNotHeld
+	// KindHeld tells a balancer which agent holds the flow.
+	KindHeld
+	// KindWhere asks an owner of the flow which agent holds it.
+	KindWhere
+	// KindUnknown answers a where: the owner does not know.
+	KindUnknown
+	// KindLoad tells a balancer how busy an agent's target is.
+	KindLoad
+	// KindCount is one more than the highest kind.
+	KindCount
+)
+
+// Reason is why an opening packet was refused.
+type Reason uint8
+
+// The reasons.
+const (
+	// ReasonNone is no refusal.
+	ReasonNone Reason = iota
+	// ReasonDraining means that the target is leaving.
+	ReasonDraining
+	// ReasonNotReady means that the agent has not heard from its target, or that the target has gone.
+	ReasonNotReady
+	// ReasonFull means that the target did not take the flow.
+	ReasonFull
+	// ReasonMisdirected means that the agent serves another service.
+	ReasonMisdirected
+	// ReasonStopping means that the agent itself is ending.
+	ReasonStopping
+	reasonCount
+)
+
+// String returns the reason's name in logs.
+func (r Reason) String() string {
+	names := [reasonCount]string{"none", "draining", "notReady", "full", "misdirected", "stopping"}
+	return names[min(r, reasonCount-1)]
+}
+
+// Load is what an agent measures of its target from the packets that pass.
+type Load struct {
+	// Takes is true while the target may be given new flows.
+	Takes bool
+	// Reason tells why Takes is false.
+	Reason Reason
+	// Busy is how many flows wait for an answer of the target.
+	Busy int
+	// MeanBusy is the mean of Busy over some seconds.
+	MeanBusy float64
+	// Flows is how many flows the target holds.
+	Flows int
+	// Slots is how many requests the target runs at once.
+	Slots int
+	// ServiceTime is the mean time of an answer that did not wait for a slot; zero if unknown.
+	ServiceTime time.Duration
+	// Warmup is how much longer the target stays slow after its start.
+	Warmup time.Duration
+	// Period is the time until the next report; a balancer that hears nothing for several periods stops
+	// sending new flows.
+	Period time.Duration
+}
+
+// Message is one datagram between two nodes.
+type Message struct {
+	Kind Kind
+	Flow state.FlowID
+	// Service is the service that the sender takes the agent to serve.
+	Service state.ServiceID
+	// Config is the version of the configuration that decided.
+	Config state.ConfigVersion
+	// Holder is the address of the agent that holds the flow, in a held.
+	Holder netip.AddrPort
+	Reason Reason
+	Load   Load
+	// Packet is the packet of the flow; it is valid only during the call that passes it.
+	Packet []byte
+}
--- /dev/null
+++ b/core/coord/steer/choose.go
@@ -0,0 +1,110 @@
+package steer
+
+import (
+	"slices"
+	"time"
+
+	"monsoonstep/core/coord/rank"
+	"monsoonstep/core/coord/relay"
+	"monsoonstep/core/state"
+)
+
+const (
+	// maxTries is how many targets are offered a new flow before it is refused.
+	maxTries = 4
+	// repeatWait is how long an agent has to confirm a new flow before a copy of the opening packet is offered
+	// to another target; below the time after which clients send a copy.
+	repeatWait = 150 * time.Millisecond
+	// defaultServiceTime is the time of an answer of a target that nothing is known of.
+	defaultServiceTime = 50 * time.Millisecond
+	// warmupFactor is how much slower a target is taken to be just after its start.
+	warmupFactor = 1.6
+	// farPenalty is what a target in another data centre costs, in time: the way there, and the bytes.
+	farPenalty = 4 * time.Millisecond
+)
+
+// place offers a new flow to the best target, or refuses it at once if none takes it.
+func (b *Balancer) place(now time.Time, route state.Route, seg state.Segment, p *place) {
+	service := route.Choose(seg.Flow)
+	if len(p.tried) >= maxTries {
+		b.refuse(seg, relay.ReasonFull, len(p.tried))
+		return
+	}
+	t, weighed := b.choose(now, service, seg.Flow, p.tried)
+	if t == nil {
+		b.refuse(seg, relay.ReasonNotReady, weighed)
+		return
+	}
+	p.target = t
+	p.since = now
+	p.confirmed = false
+	b.flows[seg.Flow] = p
+	t.sent++
+	b.do.Note(relay.Decision{
+		Event: relay.EventPlaced, Flow: seg.Flow, Peer: t.address, Config: b.config.Version,
+		Age: now.Sub(t.heardAt), Count: weighed,
+	})
+	b.forward(relay.KindOpen, t, seg)
+}
+
+// refuse resets a new flow: it has not opened, so nothing of it has run.
+func (b *Balancer) refuse(seg state.Segment, reason relay.Reason, count int) {
+	delete(b.flows, seg.Flow)
+	b.do.Note(relay.Decision{
+		Event: relay.EventRefused, Flow: seg.Flow, Reason: reason, Config: b.config.Version, Count: count,
+	})
+	b.do.Reset(seg.Flow, seg.Acknowledged)
+}
+
+// repeat handles a copy of an opening packet: it goes to the same target, unless that left the first unanswered.
+func (b *Balancer) repeat(now time.Time, route state.Route, seg state.Segment, p *place) {
+	if p.confirmed || now.Sub(p.since) < repeatWait {
+		b.forward(relay.KindOpen, p.target, seg)
+		return
+	}
+	p.target.avoidUntil = now.Add(quietPenalty)
+	p.tried = append(p.tried, p.target)
+	b.place(now, route, seg, p)
+}
+
+// choose returns the target of a service with the least expected time to an answer, and how many were weighed.
+func (b *Balancer) choose(now time.Time, service state.ServiceName, flow state.FlowID, not []*target) (*target, int) {
+	var best *target
+	var least time.Duration
+	weighed := 0
+	for _, t := range b.targets {
+		if t.service != service || !t.takes(now) || slices.Contains(not, t) {
+			continue
+		}
+		weighed++
+		cost := b.cost(t)
+		if best == nil || cost < least || cost == least && ranks(flow, t, best) {
+			best, least = t, cost
+		}
+	}
+	return best, weighed
+}
+
+// ranks decides between targets of equal cost, alike on every balancer.
+func ranks(flow state.FlowID, t, other *target) bool {
+	return rank.Score(flow.Hash(), t.hash) > rank.Score(flow.Hash(), other.hash)
+}
+
+// cost is the expected time that one more request adds at a target: what is there and on the way, times the time of an
+// answer, over the slots. Source of the form: join the shortest expected delay.
+func (b *Balancer) cost(t *target) time.Duration {
+	each := t.load.ServiceTime
+	if each == 0 {
+		each = defaultServiceTime
+	}
+	if t.load.Warmup > 0 {
+		each = time.Duration(warmupFactor * float64(each))
+	}
+	slots := float64(max(1, t.load.Slots))
+	work := max(float64(t.load.Busy), t.load.MeanBusy) + float64(t.sent) + 1
+	cost := time.Duration(work * float64(each) / slots)
+	if t.dataCentre != b.settings.DataCentre {
+		cost += farPenalty
+	}
+	return cost
+}
--- /dev/null
+++ b/core/coord/steer/receive.go
@@ -0,0 +1,113 @@
+package steer
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"monsoonstep/core/coord/relay"
+	"monsoonstep/core/state"
+)
+
+// Receive handles a message of another node. The segment is the message's packet, decoded, if it has one.
+func (b *Balancer) Receive(now time.Time, from netip.AddrPort, m relay.Message, seg state.Segment) {
+	switch m.Kind {
+	case relay.KindLoad:
+		b.heard(now, from, m)
+	case relay.KindHeld:
+		b.held(now, from, m)
+	case relay.KindWhere:
+		b.answerWhere(from, m)
+	case relay.KindUnknown:
+		b.unknown(now, from, m)
+	case relay.KindRefused:
+		b.refused(now, from, m, seg)
+	case relay.KindNotHeld:
+		b.notHeld(now, from, m, seg)
+	}
+}
+
+// held learns where a flow is, from its agent or from an owner.
+func (b *Balancer) held(now time.Time, from netip.AddrPort, m relay.Message) {
+	t := b.targets[m.Holder]
+	if t == nil || t.service.ID() != m.Service {
+		return
+	}
+	if p := b.flows[m.Flow]; p != nil {
+		p.target = t
+		p.confirmed = true
+	} else {
+		b.flows[m.Flow] = &place{target: t, since: now, confirmed: true}
+	}
+	if s, searching := b.searches[m.Flow]; searching {
+		b.found(now, s, t, s.agents && from == m.Holder)
+	}
+}
+
+func (b *Balancer) answerWhere(from netip.AddrPort, m relay.Message) {
+	p := b.flows[m.Flow]
+	if p == nil || !p.confirmed {
+		b.do.Send(from, relay.Message{Kind: relay.KindUnknown, Flow: m.Flow})
+		return
+	}
+	b.do.Send(from, relay.Message{
+		Kind: relay.KindHeld, Flow: m.Flow, Holder: p.target.address, Service: p.target.service.ID(),
+	})
+}
+
+func (b *Balancer) unknown(now time.Time, from netip.AddrPort, m relay.Message) {
+	s, searching := b.searches[m.Flow]
+	if !searching || s.agents {
+		return
+	}
+	s.owners = slices.DeleteFunc(s.owners, func(o netip.AddrPort) bool { return o == from })
+	if len(s.owners) == 0 {
+		b.askAgents(now, s)
+	}
+}
+
+// refused offers a new flow that a target did not take to another one.
+func (b *Balancer) refused(now time.Time, from netip.AddrPort, m relay.Message, seg state.Segment) {
+	p := b.flows[m.Flow]
+	if p == nil || p.confirmed || p.target.address != from || !seg.Opens {
+		return
+	}
+	if m.Reason == relay.ReasonFull {
+		p.target.sent += max(1, p.target.load.Slots)
+	} else {
+		p.target.load.Takes = false
+	}
+	p.tried = append(p.tried, p.target)
+	route, ok := b.config.Routes[seg.Flow.Virtual]
+	if !ok {
+		b.refuseRoute(seg)
+		return
+	}
+	b.place(now, route, seg, p)
+}
+
+// notHeld learns that an agent's target does not hold a flow.
+func (b *Balancer) notHeld(now time.Time, from netip.AddrPort, m relay.Message, seg state.Segment) {
+	t := b.targets[from]
+	if t == nil {
+		return
+	}
+	if s, searching := b.searches[m.Flow]; searching {
+		b.denied(now, s, t)
+		return
+	}
+	if p := b.flows[m.Flow]; p != nil && p.target == t {
+		delete(b.flows, m.Flow)
+	}
+	if len(seg.Packet) > 0 && b.flows[m.Flow] == nil {
+		b.startSearch(now, seg, []*target{t})
+	}
+}
+
+func (b *Balancer) denied(now time.Time, s *search, t *target) {
+	s.denied = append(s.denied, t)
+	s.asked = slices.DeleteFunc(s.asked, func(other *target) bool { return other == t })
+	if s.agents && len(s.asked) == 0 {
+		b.conclude(now, s)
+	}
+}
--- /dev/null
+++ b/core/coord/steer/search.go
@@ -0,0 +1,154 @@
+package steer
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"monsoonstep/core/coord/relay"
+	"monsoonstep/core/state"
+)
+
+const (
+	// ownerWait is how long the owners of a flow have to answer before all agents are asked.
+	ownerWait = 40 * time.Millisecond
+	// agentWait is how long the agents have to answer; the client's next copy starts another search.
+	agentWait = 300 * time.Millisecond
+	// maxHeld is how many packets of one flow wait for the end of a search.
+	maxHeld = 4
+	// settleTime is how long a balancer must have run, and have heard of no new agent, before it takes its list of
+	// agents for complete.
+	settleTime = time.Second
+)
+
+// search is the question who holds a flow.
+type search struct {
+	// segment is the packet that began the search; its Packet is the first of held.
+	segment state.Segment
+	held    [][]byte
+	// owners are those that have not answered yet.
+	owners []netip.AddrPort
+	// asked are the targets that were asked and have not answered; nil while owners are asked.
+	asked []*target
+	// denied are the targets that do not hold the flow.
+	denied   []*target
+	agents   bool
+	since    time.Time
+	deadline time.Time
+}
+
+// hold keeps a copy of a packet until the search ends.
+func (s *search) hold(packet []byte) {
+	if len(s.held) < maxHeld {
+		s.held = append(s.held, append([]byte(nil), packet...))
+	}
+}
+
+// startSearch begins to look for the holder of a flow; denied targets are known not to hold it.
+func (b *Balancer) startSearch(now time.Time, seg state.Segment, denied []*target) {
+	s := &search{segment: seg, since: now, denied: denied}
+	s.hold(seg.Packet)
+	s.segment.Packet = s.held[0]
+	b.searches[seg.Flow] = s
+	b.do.Note(relay.Decision{Event: relay.EventSearch, Flow: seg.Flow, Config: b.config.Version, Count: len(denied)})
+	if len(denied) == 0 {
+		b.askOwners(now, s)
+	}
+	if len(s.owners) == 0 {
+		b.askAgents(now, s)
+	}
+}
+
+func (b *Balancer) askOwners(now time.Time, s *search) {
+	s.deadline = now.Add(ownerWait)
+	for _, owner := range b.owners.Of(s.segment.Flow) {
+		if owner == b.settings.Self {
+			continue
+		}
+		s.owners = append(s.owners, owner)
+		b.do.Send(owner, relay.Message{Kind: relay.KindWhere, Flow: s.segment.Flow})
+	}
+}
+
+// askAgents asks every agent whose target may hold the flow, with the packet.
+func (b *Balancer) askAgents(now time.Time, s *search) {
+	seg := s.segment
+	s.owners = nil
+	if seg.Opens {
+		b.endSearch(seg.Flow)
+		b.placeSearched(now, s)
+		return
+	}
+	s.agents = true
+	s.deadline = now.Add(agentWait)
+	for _, t := range b.holders(seg.Flow.Virtual) {
+		if slices.Contains(s.denied, t) || t.lost(now) {
+			continue
+		}
+		s.asked = append(s.asked, t)
+		b.forward(relay.KindAsk, t, seg)
+	}
+	if len(s.asked) == 0 {
+		b.conclude(now, s)
+	}
+}
+
+// placeSearched offers a new flow whose place no owner knows.
+func (b *Balancer) placeSearched(now time.Time, s *search) {
+	route, ok := b.config.Routes[s.segment.Flow.Virtual]
+	if !ok {
+		b.refuseRoute(s.segment)
+		return
+	}
+	b.place(now, route, s.segment, &place{since: now, tried: s.denied})
+}
+
+func (b *Balancer) endSearch(flow state.FlowID) { delete(b.searches, flow) }
+
+// conclude ends a search in which all that were asked denied the flow. The client is told at once, unless there may
+// be agents that this balancer has not heard of.
+func (b *Balancer) conclude(now time.Time, s *search) {
+	b.endSearch(s.segment.Flow)
+	if !b.settled(now) {
+		return
+	}
+	b.reset(s.segment, relay.Decision{Age: now.Sub(s.since), Count: len(s.denied)})
+}
+
+func (b *Balancer) settled(now time.Time) bool {
+	return now.Sub(b.started) > settleTime && now.Sub(b.lastArrival) > settleTime
+}
+
+// expireSearch goes on when answers stay out.
+func (b *Balancer) expireSearch(now time.Time, flow state.FlowID, s *search) {
+	if !s.agents {
+		b.askAgents(now, s)
+		return
+	}
+	s.asked = slices.DeleteFunc(s.asked, func(t *target) bool { return t.lost(now) })
+	if len(s.asked) == 0 {
+		b.conclude(now, s)
+		return
+	}
+	b.endSearch(flow)
+}
+
+// found ends a search: the packets that waited go to the holder. One that came with an ask was delivered.
+func (b *Balancer) found(now time.Time, s *search, t *target, delivered bool) {
+	b.endSearch(s.segment.Flow)
+	b.do.Note(relay.Decision{
+		Event: relay.EventFound, Flow: s.segment.Flow, Peer: t.address, Config: b.config.Version, Age: now.Sub(s.since),
+	})
+	for i, packet := range s.held {
+		if i == 0 && delivered {
+			continue
+		}
+		seg := s.segment
+		seg.Packet = packet
+		kind := relay.KindData
+		if seg.Opens {
+			kind = relay.KindOpen
+		}
+		b.forward(kind, t, seg)
+	}
+}
--- /dev/null
+++ b/core/coord/steer/steer.go
@@ -0,0 +1,205 @@
+// Package steer is the balancer's part in carrying opaque flows: it chooses a target for each new flow, and
+// finds the agent that holds a flow whose packets begin to reach this balancer.
+//
+// Any balancer may get any packet. What a balancer knows of a flow is a cache: agents are the truth, and
+// tell each flow's place to a fixed number of balancers, its owners, that the others ask.
+//
+// A balancer is deterministic: events and the time go in, and actions go out through function fields.
+package steer
+
+import (
+	"net/netip"
+	"time"
+
+	"monsoonstep/core/coord/relay"
+	"monsoonstep/core/state"
+)
+
+// Actions are what a balancer does to the world. None may be nil.
+type Actions struct {
+	// Send sends a message to another node.
+	Send func(to netip.AddrPort, m relay.Message)
+	// Reset sends a client a reset of its flow with a sequence number that it accepts.
+	Reset func(flow state.FlowID, sequence uint32)
+	// Note records a decision.
+	Note func(relay.Decision)
+}
+
+// Settings are the fixed facts of a balancer.
+type Settings struct {
+	Self       netip.AddrPort
+	DataCentre state.DataCentre
+	// FlowAge is how long a flow's place is kept after it was learnt.
+	FlowAge time.Duration
+}
+
+// Balancer is one balancer's knowledge. It is not safe for use by several goroutines.
+type Balancer struct {
+	settings Settings
+	do       Actions
+	config   state.Config
+	// served has every service that a configuration seen so far puts behind an address: flows stay where they are when a
+	// route changes.
+	served map[state.End][]state.ServiceName
+	// targets holds the agents by address; one that was replaced at its address keeps its row.
+	targets map[netip.AddrPort]*target
+	// flows holds the place of each flow that this balancer carries or owns.
+	flows map[state.FlowID]*place
+	// searches holds the flows whose holder is being looked for.
+	searches map[state.FlowID]*search
+	owners   relay.Owners
+	started  time.Time
+	// lastArrival is when an agent was last heard of for the first time.
+	lastArrival time.Time
+	nextSweep   time.Time
+}
+
+// place is where a flow is thought to be.
+type place struct {
+	target *target
+	since  time.Time
+	// confirmed is true once the agent said that its target holds the flow.
+	confirmed bool
+	// tried are the targets that did not take the flow.
+	tried []*target
+}
+
+// New returns a balancer that starts now.
+func New(now time.Time, settings Settings, do Actions) *Balancer {
+	return &Balancer{
+		settings: settings,
+		do:       do,
+		served:   make(map[state.End][]state.ServiceName),
+		targets:  make(map[netip.AddrPort]*target),
+		flows:    make(map[state.FlowID]*place),
+		searches: make(map[state.FlowID]*search),
+		started:  now,
+	}
+}
+
+// Configure puts a configuration in force if it is newer than the present one, and reports whether it was.
+func (b *Balancer) Configure(c state.Config) bool {
+	if c.Version <= b.config.Version {
+		return false
+	}
+	b.config = c
+	for end, route := range c.Routes {
+		for _, backend := range route.Backends {
+			b.served[end] = appendNew(b.served[end], backend.Service)
+		}
+	}
+	return true
+}
+
+func appendNew(list []state.ServiceName, name state.ServiceName) []state.ServiceName {
+	for _, known := range list {
+		if known == name {
+			return list
+		}
+	}
+	return append(list, name)
+}
+
+// Config returns the version in force.
+func (b *Balancer) Config() state.ConfigVersion { return b.config.Version }
+
+// SetBalancers replaces the list of balancers, this one included.
+func (b *Balancer) SetBalancers(list []netip.AddrPort) { b.owners = relay.NewOwners(list) }
+
+// Packet handles a packet of a client.
+func (b *Balancer) Packet(now time.Time, seg state.Segment) {
+	if b.config.Version == 0 {
+		return
+	}
+	route, ok := b.config.Routes[seg.Flow.Virtual]
+	if !ok {
+		b.refuseRoute(seg)
+		return
+	}
+	if s, searching := b.searches[seg.Flow]; searching {
+		s.hold(seg.Packet)
+		return
+	}
+	p := b.flows[seg.Flow]
+	switch {
+	case p != nil && p.target.lost(now):
+		b.drop(now, seg, p)
+	case p != nil && seg.Opens:
+		b.repeat(now, route, seg, p)
+	case p != nil:
+		b.forward(relay.KindData, p.target, seg)
+	case seg.Opens && seg.Acknowledged == 0:
+		b.place(now, route, seg, &place{since: now})
+	default:
+		b.startSearch(now, seg, nil)
+	}
+}
+
+// refuseRoute resets a flow to an address without a route.
+func (b *Balancer) refuseRoute(seg state.Segment) {
+	delete(b.flows, seg.Flow)
+	delete(b.searches, seg.Flow)
+	if seg.Resets {
+		return
+	}
+	b.do.Note(relay.Decision{Event: relay.EventNoRoute, Flow: seg.Flow, Config: b.config.Version})
+	b.do.Reset(seg.Flow, seg.Acknowledged)
+}
+
+// drop resets a flow whose target is gone.
+func (b *Balancer) drop(now time.Time, seg state.Segment, p *place) {
+	delete(b.flows, seg.Flow)
+	b.reset(seg, relay.Decision{Peer: p.target.address, Age: now.Sub(p.target.heardAt)})
+}
+
+// reset tells a client that its flow is gone.
+func (b *Balancer) reset(seg state.Segment, d relay.Decision) {
+	if seg.Resets {
+		return
+	}
+	d.Event = relay.EventReset
+	d.Flow = seg.Flow
+	d.Config = b.config.Version
+	b.do.Note(d)
+	b.do.Reset(seg.Flow, seg.Acknowledged)
+}
+
+func (b *Balancer) forward(kind relay.Kind, t *target, seg state.Segment) {
+	b.do.Send(t.address, relay.Message{
+		Kind:    kind,
+		Flow:    seg.Flow,
+		Service: t.service.ID(),
+		Config:  b.config.Version,
+		Packet:  seg.Packet,
+	})
+}
+
+// Tick lets time pass. It is called every TickPeriod.
+func (b *Balancer) Tick(now time.Time) {
+	for id, s := range b.searches {
+		if !now.Before(s.deadline) {
+			b.expireSearch(now, id, s)
+		}
+	}
+	if now.Before(b.nextSweep) {
+		return
+	}
+	b.nextSweep = now.Add(sweepPeriod)
+	for id, p := range b.flows {
+		if now.Sub(p.since) > b.settings.FlowAge {
+			delete(b.flows, id)
+		}
+	}
+}
+
+// TickPeriod is the longest time between two ticks.
+const TickPeriod = 50 * time.Millisecond
+
+// sweepPeriod is the time between two sweeps of old places.
+const sweepPeriod = 2 * time.Second
+
+// Flows returns how many places are known.
+func (b *Balancer) Flows() int { return len(b.flows) }
+
+// Searches returns how many flows are being looked for.
+func (b *Balancer) Searches() int { return len(b.searches) }
--- /dev/null
+++ b/core/coord/steer/target.go
@@ -0,0 +1,203 @@
+package steer
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"monsoonstep/core/coord/relay"
+	"monsoonstep/core/state"
+)
+
+// Times by which a balancer judges what it knows of a target.
+const (
+	// silentPeriods is how many load reports may be missing before a target gets no new flows.
+	silentPeriods = 3.5
+	// newcomerTrust is how long an agent that announced a serving target is used before its first report.
+	newcomerTrust = time.Second
+	// lostAfter is how long an agent that the membership calls dead must be silent before its flows are
+	// given up.
+	lostAfter = 1500 * time.Millisecond
+	// plannedAbsence is how long the flows of an agent that left on purpose are kept: it is started again
+	// beside the same target within seconds.
+	plannedAbsence = 8 * time.Second
+	// quietPenalty is how long a target is passed over that left an opening packet unanswered.
+	quietPenalty = time.Second
+)
+
+// target is an agent and its target, as this balancer knows them.
+type target struct {
+	address    netip.AddrPort
+	id         state.InstanceID
+	service    state.ServiceName
+	dataCentre state.DataCentre
+	hash       uint64
+	health     state.Health
+	// member is true once the membership named the agent.
+	member bool
+	// changedAt is when the membership last said something new of the agent.
+	changedAt time.Time
+	phase     state.Phase
+	load      relay.Load
+	// heardAt is when the last load report came; zero if none has since the agent started.
+	heardAt time.Time
+	// sent is how many new flows went there since that report.
+	sent int
+	// avoidUntil is set when the target left an opening packet unanswered or refused one.
+	avoidUntil time.Time
+}
+
+// lost reports whether the flows of the target can be given up: its agent is dead, without having left on
+// purpose, and nothing is heard of it; or it left after its target did.
+func (t *target) lost(now time.Time) bool {
+	switch t.health {
+	case state.HealthDead:
+		return now.Sub(t.heardAt) > lostAfter
+	case state.HealthLeft:
+		return t.load.Reason == relay.ReasonNotReady || now.Sub(t.changedAt) > plannedAbsence
+	default:
+		return false
+	}
+}
+
+// takes reports whether the target may be given new flows.
+func (t *target) takes(now time.Time) bool {
+	if !t.member || t.health == state.HealthDead || t.health == state.HealthLeft || now.Before(t.avoidUntil) {
+		return false
+	}
+	if t.heardAt.IsZero() {
+		return t.phase == state.PhaseServing && now.Sub(t.changedAt) < newcomerTrust
+	}
+	limit := time.Duration(silentPeriods * float64(t.load.Period))
+	return t.load.Takes && now.Sub(t.heardAt) < limit
+}
+
+// SetMembers takes in the membership.
+func (b *Balancer) SetMembers(now time.Time, members []state.Member) {
+	newest := make(map[netip.AddrPort]state.Member)
+	for _, m := range members {
+		if m.Role != state.RoleAgent || !m.Flow.IsValid() {
+			continue
+		}
+		if old, ok := newest[m.Flow]; !ok || supersedes(m, old) {
+			newest[m.Flow] = m
+		}
+	}
+	for _, m := range newest {
+		b.setMember(now, m)
+	}
+	for address, t := range b.targets {
+		if _, ok := newest[address]; !ok && t.member {
+			t.health = state.HealthDead
+		}
+	}
+}
+
+// supersedes reports whether m is the later process of two at one address: one that runs goes before one that
+// does not, then the one that started later by its own clock.
+func supersedes(m, old state.Member) bool {
+	if m.Present() != old.Present() {
+		return m.Present()
+	}
+	return m.ID.Started() > old.ID.Started()
+}
+
+func (b *Balancer) setMember(now time.Time, m state.Member) {
+	t := b.targets[m.Flow]
+	if t == nil || t.service != m.Service {
+		t = b.replaceTarget(now, t, m)
+	}
+	if t.id != m.ID {
+		t.id = m.ID
+		t.heardAt = time.Time{}
+		t.load = relay.Load{Slots: m.Slots}
+		t.changedAt = now
+		t.avoidUntil = time.Time{}
+	}
+	if t.health != m.Health || t.phase != m.Phase {
+		t.changedAt = now
+	}
+	t.member = true
+	t.health = m.Health
+	t.phase = m.Phase
+	t.dataCentre = m.DataCentre
+}
+
+// replaceTarget makes a row for an agent at a new address, or for one of another service at a known one;
+// flows of the former are then lost.
+func (b *Balancer) replaceTarget(now time.Time, former *target, m state.Member) *target {
+	if former != nil {
+		former.health = state.HealthDead
+		former.heardAt = time.Time{}
+	}
+	t := &target{address: m.Flow, service: m.Service, hash: relay.NodeHash(m.Flow), id: m.ID, changedAt: now}
+	b.targets[m.Flow] = t
+	b.lastArrival = now
+	return t
+}
+
+// heard takes in a load report.
+func (b *Balancer) heard(now time.Time, from netip.AddrPort, m relay.Message) {
+	t := b.targets[from]
+	if t == nil || t.service.ID() != m.Service {
+		return
+	}
+	t.load = m.Load
+	t.heardAt = now
+	t.sent = 0
+}
+
+// Takers returns how many targets may be given new flows.
+func (b *Balancer) Takers(now time.Time) int {
+	count := 0
+	for _, t := range b.targets {
+		if t.takes(now) {
+			count++
+		}
+	}
+	return count
+}
+
+// holders returns the targets that may hold a flow to an address.
+func (b *Balancer) holders(virtual state.End) []*target {
+	var found []*target
+	for _, t := range b.targets {
+		if slices.Contains(b.served[virtual], t.service) {
+			found = append(found, t)
+		}
+	}
+	return found
+}
+
+// Paused moves what was heard forward by a pause of this process, in which nothing could be heard.
+func (b *Balancer) Paused(gap time.Duration) {
+	for _, t := range b.targets {
+		if !t.heardAt.IsZero() {
+			t.heardAt = t.heardAt.Add(gap)
+		}
+	}
+}
+
+// Row is what a balancer knows of one target, for people.
+type Row struct {
+	Address netip.AddrPort
+	Agent   state.InstanceID
+	Service state.ServiceName
+	Health  state.Health
+	Takes   bool
+	Load    relay.Load
+	Age     time.Duration
+	Sent    int
+}
+
+// Rows returns what is known of all targets.
+func (b *Balancer) Rows(now time.Time) []Row {
+	rows := make([]Row, 0, len(b.targets))
+	for _, t := range b.targets {
+		rows = append(rows, Row{
+			Address: t.address, Agent: t.id, Service: t.service, Health: t.health, Takes: t.takes(now),
+			Load: t.load, Age: now.Sub(t.heardAt), Sent: t.sent,
+		})
+	}
+	return rows
+}
--- /dev/null
+++ b/core/proto/hops/gossip.go
@@ -0,0 +1,218 @@
+package hops
+
+import (
+	"encoding/binary"
+
+	"google.golang.org/protobuf/encoding/protowire"
+
+	"monsoonstep/core/coord/gossip"
+	"monsoonstep/core/errs"
+	"monsoonstep/core/state"
+)
+
+// The field numbers of a gossip message.
+const (
+	gossipKind protowire.Number = iota + 1
+	gossipSequence
+	gossipFrom
+	gossipTo
+	gossipTarget
+	gossipTargetAddress
+	gossipMember
+	gossipRecord
+	gossipDigest
+)
+
+// The field numbers of a member.
+const (
+	memberID protowire.Number = iota + 1
+	memberIncarnation
+	memberHealth
+	memberRole
+	memberService
+	memberDataCentre
+	memberRegion
+	memberGossip
+	memberPeer
+	memberSlots
+	memberPhase
+	memberSince
+	memberAbsentFrom
+	memberAbsentTo
+)
+
+// The field numbers of a record.
+const (
+	recordKey protowire.Number = iota + 1
+	recordRevision
+	recordValue
+)
+
+// AppendGossip appends the datagram of a message to b.
+func AppendGossip(b []byte, m gossip.Message) []byte {
+	b = append(b, byte(SortGossip))
+	b = appendNumber(b, gossipKind, uint64(m.Kind))
+	b = appendNumber(b, gossipSequence, m.Sequence)
+	b = appendText(b, gossipFrom, string(m.From))
+	b = appendText(b, gossipTo, string(m.To))
+	b = appendText(b, gossipTarget, string(m.Target))
+	b = appendAddress(b, gossipTargetAddress, m.TargetAddress)
+	for _, member := range m.Members {
+		b = appendBytes(b, gossipMember, appendMember(nil, member))
+	}
+	for _, record := range m.Records {
+		b = appendBytes(b, gossipRecord, appendRecord(nil, record))
+	}
+	if m.Digest != nil {
+		b = appendBytes(b, gossipDigest, appendDigest(nil, *m.Digest))
+	}
+	return b
+}
+
+func appendMember(b []byte, m state.Member) []byte {
+	b = appendText(b, memberID, string(m.ID))
+	b = appendNumber(b, memberIncarnation, uint64(m.Incarnation))
+	b = appendNumber(b, memberHealth, uint64(m.Health))
+	b = appendNumber(b, memberRole, uint64(m.Role))
+	b = appendText(b, memberService, string(m.Service))
+	b = appendText(b, memberDataCentre, string(m.DataCentre))
+	b = appendText(b, memberRegion, string(m.Region))
+	b = appendAddress(b, memberGossip, m.Gossip)
+	b = appendAddress(b, memberPeer, m.Peer)
+	b = appendNumber(b, memberSlots, uint64(max(0, m.Slots)))
+	b = appendNumber(b, memberPhase, uint64(m.Phase))
+	b = appendNumber(b, memberSince, uint64(m.Since))
+	b = appendNumber(b, memberAbsentFrom, uint64(m.AbsentFrom))
+	return appendNumber(b, memberAbsentTo, uint64(m.AbsentTo))
+}
+
+func appendRecord(b []byte, r state.Record) []byte {
+	b = appendText(b, recordKey, string(r.Key))
+	b = appendNumber(b, recordRevision, uint64(r.Revision))
+	return appendBytes(b, recordValue, r.Value)
+}
+
+func appendDigest(b []byte, d gossip.Digest) []byte {
+	for _, bucket := range d.Members {
+		b = binary.BigEndian.AppendUint32(b, bucket)
+	}
+	for _, bucket := range d.Records {
+		b = binary.BigEndian.AppendUint32(b, bucket)
+	}
+	return b
+}
+
+// DecodeGossip decodes a datagram of SortGossip. Nothing in the message shares memory with b.
+func DecodeGossip(b []byte) (gossip.Message, error) {
+	var m gossip.Message
+	if sort, ok := SortOf(b); !ok || sort != SortGossip {
+		return m, errs.New(errs.BadInput, "datagram is no gossip message")
+	}
+	err := eachField(b[1:], func(f field) error { return setGossip(&m, f) })
+	if err != nil {
+		return gossip.Message{}, err
+	}
+	if m.Kind == 0 || m.Kind > gossip.KindDiff || m.From == "" {
+		return gossip.Message{}, errs.New(errs.BadInput, "gossip message of kind %d from %q", m.Kind, m.From)
+	}
+	return m, nil
+}
+
+func setGossip(m *gossip.Message, f field) error {
+	var err error
+	switch f.number {
+	case gossipKind:
+		m.Kind = gossip.Kind(f.value)
+	case gossipSequence:
+		m.Sequence = f.value
+	case gossipFrom:
+		m.From = state.InstanceID(f.bytes)
+	case gossipTo:
+		m.To = state.InstanceID(f.bytes)
+	case gossipTarget:
+		m.Target = state.InstanceID(f.bytes)
+	case gossipTargetAddress:
+		m.TargetAddress, err = addressFrom(f.bytes)
+	case gossipMember:
+		var member state.Member
+		err = eachField(f.bytes, func(g field) error { return setMember(&member, g) })
+		m.Members = append(m.Members, member)
+	case gossipRecord:
+		var record state.Record
+		err = eachField(f.bytes, func(g field) error { setRecord(&record, g); return nil })
+		m.Records = append(m.Records, record)
+	case gossipDigest:
+		m.Digest, err = digestFrom(f.bytes)
+	}
+	return err
+}
+
+func setMember(m *state.Member, f field) error {
+	var err error
+	switch f.number {
+	case memberID:
+		m.ID = state.InstanceID(f.bytes)
+	case memberIncarnation:
+		m.Incarnation = state.Incarnation(f.value)
+	case memberHealth:
+		m.Health = state.Health(f.value)
+	case memberRole:
+		m.Role = state.Role(f.value)
+	case memberService:
+		m.Service = state.ServiceName(f.bytes)
+	case memberDataCentre:
+		m.DataCentre = state.DataCentre(f.bytes)
+	case memberRegion:
+		m.Region = state.Region(f.bytes)
+	case memberGossip:
+		m.Gossip, err = addressFrom(f.bytes)
+		m.Flow = m.Gossip
+	case memberPeer:
+		m.Peer, err = addressFrom(f.bytes)
+	default:
+		setMemberNumber(m, f)
+	}
+	return err
+}
+
+func setMemberNumber(m *state.Member, f field) {
+	switch f.number {
+	case memberSlots:
+		m.Slots = int(min(f.value, countLimit))
+	case memberPhase:
+		m.Phase = state.Phase(f.value)
+	case memberSince:
+		m.Since = state.Millis(f.value)
+	case memberAbsentFrom:
+		m.AbsentFrom = state.Millis(f.value)
+	case memberAbsentTo:
+		m.AbsentTo = state.Millis(f.value)
+	}
+}
+
+func setRecord(r *state.Record, f field) {
+	switch f.number {
+	case recordKey:
+		r.Key = state.Key(f.bytes)
+	case recordRevision:
+		r.Revision = state.Revision(f.value)
+	case recordValue:
+		r.Value = append([]byte(nil), f.bytes...)
+	}
+}
+
+func digestFrom(b []byte) (*gossip.Digest, error) {
+	var d gossip.Digest
+	const size = 4 * (gossip.MemberBuckets + state.BookBuckets)
+	if len(b) != size {
+		return nil, errs.New(errs.BadInput, "digest of %d bytes instead of %d", len(b), size)
+	}
+	for i := range d.Members {
+		d.Members[i] = binary.BigEndian.Uint32(b[4*i:])
+	}
+	b = b[4*gossip.MemberBuckets:]
+	for i := range d.Records {
+		d.Records[i] = binary.BigEndian.Uint32(b[4*i:])
+	}
+	return &d, nil
+}
--- /dev/null
+++ b/core/proto/hops/relay.go
@@ -0,0 +1,149 @@
+package hops
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/encoding/protowire"
+
+	"monsoonstep/core/coord/relay"
+	"monsoonstep/core/errs"
+	"monsoonstep/core/state"
+)
+
+// The field numbers of a relay message.
+const (
+	relayKind protowire.Number = iota + 1
+	relayFlow
+	relayService
+	relayConfig
+	relayHolder
+	relayReason
+	relayLoad
+	relayPacket
+)
+
+// The field numbers of a load.
+const (
+	loadTakes protowire.Number = iota + 1
+	loadReason
+	loadBusy
+	loadFlows
+	loadSlots
+	loadServiceMicros
+	loadWarmupMillis
+	loadPeriodMillis
+	loadMeanBusyHundredths
+)
+
+const hundredths = 100
+
+// AppendRelay appends the datagram of a message to b.
+func AppendRelay(b []byte, m relay.Message) []byte {
+	b = append(b, byte(SortRelay))
+	b = appendNumber(b, relayKind, uint64(m.Kind))
+	if m.Flow != (state.FlowID{}) {
+		b = appendBytes(b, relayFlow, append(endBytes(m.Flow.Client), endBytes(m.Flow.Virtual)...))
+	}
+	b = appendNumber(b, relayService, uint64(m.Service))
+	b = appendNumber(b, relayConfig, uint64(m.Config))
+	b = appendAddress(b, relayHolder, m.Holder)
+	b = appendNumber(b, relayReason, uint64(m.Reason))
+	if m.Kind == relay.KindLoad {
+		b = appendBytes(b, relayLoad, appendLoad(nil, m.Load))
+	}
+	return appendBytes(b, relayPacket, m.Packet)
+}
+
+func appendLoad(b []byte, l relay.Load) []byte {
+	b = appendNumber(b, loadTakes, protowire.EncodeBool(l.Takes))
+	b = appendNumber(b, loadReason, uint64(l.Reason))
+	b = appendNumber(b, loadBusy, uint64(max(0, l.Busy)))
+	b = appendNumber(b, loadFlows, uint64(max(0, l.Flows)))
+	b = appendNumber(b, loadSlots, uint64(max(0, l.Slots)))
+	b = appendNumber(b, loadServiceMicros, uint64(max(0, l.ServiceTime.Microseconds())))
+	b = appendNumber(b, loadWarmupMillis, uint64(max(0, l.Warmup.Milliseconds())))
+	b = appendNumber(b, loadPeriodMillis, uint64(max(0, l.Period.Milliseconds())))
+	return appendNumber(b, loadMeanBusyHundredths, uint64(max(0, l.MeanBusy*hundredths)))
+}
+
+// DecodeRelay decodes a datagram of SortRelay. The packet shares memory with b.
+func DecodeRelay(b []byte) (relay.Message, error) {
+	var m relay.Message
+	if sort, ok := SortOf(b); !ok || sort != SortRelay {
+		return m, errs.New(errs.BadInput, "datagram is no relay message")
+	}
+	err := eachField(b[1:], func(f field) error { return setRelay(&m, f) })
+	if err != nil {
+		return relay.Message{}, err
+	}
+	if m.Kind == 0 || m.Kind >= relay.KindCount {
+		return relay.Message{}, errs.New(errs.BadInput, "relay message of unknown kind %d", m.Kind)
+	}
+	return m, nil
+}
+
+func setRelay(m *relay.Message, f field) error {
+	var err error
+	switch f.number {
+	case relayKind:
+		m.Kind = relay.Kind(f.value)
+	case relayFlow:
+		m.Flow, err = flowFrom(f.bytes)
+	case relayService:
+		m.Service = state.ServiceID(f.value)
+	case relayConfig:
+		m.Config = state.ConfigVersion(f.value)
+	case relayHolder:
+		m.Holder, err = addressFrom(f.bytes)
+	case relayReason:
+		m.Reason = relay.Reason(f.value)
+	case relayLoad:
+		err = eachField(f.bytes, func(l field) error { setLoad(&m.Load, l); return nil })
+	case relayPacket:
+		m.Packet = f.bytes
+	}
+	return err
+}
+
+func flowFrom(b []byte) (state.FlowID, error) {
+	if len(b) != 2*endSize {
+		return state.FlowID{}, errs.New(errs.BadInput, "flow of %d bytes instead of %d", len(b), 2*endSize)
+	}
+	client, _ := endFrom(b[:endSize])
+	virtual, err := endFrom(b[endSize:])
+	return state.FlowID{Client: client, Virtual: virtual}, err
+}
+
+// countLimit bounds the counts of a load, so that a damaged datagram can't overflow sums.
+const countLimit = 1 << 20
+
+// timeLimit bounds the times of a load.
+const timeLimit = time.Hour
+
+func setLoad(l *relay.Load, f field) {
+	count := int(min(f.value, countLimit))
+	switch f.number {
+	case loadTakes:
+		l.Takes = f.value != 0
+	case loadReason:
+		l.Reason = relay.Reason(f.value)
+	case loadBusy:
+		l.Busy = count
+	case loadFlows:
+		l.Flows = count
+	case loadSlots:
+		l.Slots = count
+	case loadServiceMicros:
+		l.ServiceTime = duration(f.value, time.Microsecond)
+	case loadWarmupMillis:
+		l.Warmup = duration(f.value, time.Millisecond)
+	case loadPeriodMillis:
+		l.Period = duration(f.value, time.Millisecond)
+	case loadMeanBusyHundredths:
+		l.MeanBusy = float64(count) / hundredths
+	}
+}
+
+func duration(value uint64, unit time.Duration) time.Duration {
+	return time.Duration(min(value, uint64(timeLimit/unit))) * unit
+}
--- a/core/state/ids.go
+++ b/core/state/ids.go
@@ -36,6 +36,16 @@
 	return InstanceName(name)
 }
 
+// Started returns the time at which the process started, by its own clock; zero if the ID does not tell.
+func (i InstanceID) Started() Millis {
+	_, started, _ := strings.Cut(string(i), "/")
+	at, err := strconv.ParseInt(started, 16, 64)
+	if err != nil {
+		return 0
+	}
+	return Millis(at)
+}
+
 // DataCentre is the name of a data centre.
 type DataCentre string
 
--- a/io/admin/admin.go
+++ b/io/admin/admin.go
@@ -30,20 +30,27 @@
 	State func() any
 	// Ready returns why the process takes no new work, or nil.
 	Ready func() error
+	// More adds pages of the process's own; it may be nil.
+	More func(*http.ServeMux)
 }
 
 // Serve serves the pages until the group stops.
 func Serve(g *group.Group, address netip.AddrPort, p Pages) error {
+	return ServeHandler(g, "admin server", address, p.handler())
+}
+
+// ServeHandler serves any handler until the group stops.
+func ServeHandler(g *group.Group, name string, address netip.AddrPort, handler http.Handler) error {
 	listener, err := net.Listen("tcp", address.String())
 	if err != nil {
-		return errs.Wrap(err, errs.BadSettings, "adminAddress %s can't be listened on", address)
+		return errs.Wrap(err, errs.BadSettings, "address %s of the %s can't be listened on", address, name)
 	}
-	server := &http.Server{Handler: p.handler(), ReadHeaderTimeout: headerTimeout}
-	g.Go("admin server", func(ctx context.Context) error {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	g.Go(name, func(ctx context.Context) error {
 		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 		defer stop()
 		if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
-			return errs.Wrap(err, errs.Internal, "admin server")
+			return errs.Wrap(err, errs.Internal, "%s", name)
 		}
 		return nil
 	})
@@ -72,5 +79,8 @@
 		}
 		_, _ = w.Write([]byte("ok\n"))
 	})
+	if p.More != nil {
+		p.More(mux)
+	}
 	return mux
 }
--- a/io/cmds/agent.go
+++ b/io/cmds/agent.go
@@ -1,11 +1,14 @@
 package cmds
 
 import (
+	"context"
+
 	"github.com/spf13/cobra"
 
 	"monsoonstep/io/admin"
 	"monsoonstep/io/agent"
 	"monsoonstep/io/conf"
+	"monsoonstep/io/proc"
 )
 
 func agentCommand(s streams) *cobra.Command {
@@ -31,29 +34,29 @@
 }
 
 func runAgent(s streams, settings conf.Agent) error {
-	d, err := newDaemon(s, settings.LogLevel)
+	d, err := proc.New(s.out, settings.LogLevel)
 	if err != nil {
 		return err
 	}
-	a, err := agent.New(d.group, settings, d.log, d.metrics)
+	a, err := agent.New(d.Group, settings, d.Log, d.Metrics)
 	if err != nil {
-		return d.abort(err)
+		return d.Abort(err)
 	}
 	defer a.Close()
-	err = admin.Serve(d.group, settings.Admin, admin.Pages{
-		Metrics: d.metrics,
+	err = admin.Serve(d.Group, settings.Admin, admin.Pages{
+		Metrics: d.Metrics,
 		State:   func() any { return a.Dump() },
 		Ready:   a.Ready,
 	})
 	if err != nil {
-		return d.abort(err)
+		return d.Abort(err)
 	}
-	d.stopWhen(a.Done())
-	return d.run(func() {
+	d.StopWhen(a.Done())
+	return d.Run(Version, func(context.Context) {
 		a.Stop()
 		select {
 		case <-a.Done():
-		case <-d.group.Context().Done():
+		case <-d.Group.Context().Done():
 		}
 	})
 }
--- a/io/cmds/balancer.go
+++ b/io/cmds/balancer.go
@@ -1,11 +1,14 @@
 package cmds
 
 import (
+	"context"
+
 	"github.com/spf13/cobra"
 
 	"monsoonstep/io/admin"
 	"monsoonstep/io/conf"
 	"monsoonstep/io/front"
+	"monsoonstep/io/proc"
 )
 
 func balancerCommand(s streams) *cobra.Command {
@@ -31,22 +34,22 @@
 }
 
 func runBalancer(s streams, settings conf.Balancer) error {
-	d, err := newDaemon(s, settings.LogLevel)
+	d, err := proc.New(s.out, settings.LogLevel)
 	if err != nil {
 		return err
 	}
-	b, err := front.NewBalancer(d.group, settings, d.log, d.metrics)
+	b, err := front.NewBalancer(d.Group, settings, d.Log, d.Metrics)
 	if err != nil {
-		return d.abort(err)
+		return d.Abort(err)
 	}
 	defer b.Close()
-	err = admin.Serve(d.group, settings.Admin, admin.Pages{
-		Metrics: d.metrics,
+	err = admin.Serve(d.Group, settings.Admin, admin.Pages{
+		Metrics: d.Metrics,
 		State:   func() any { return b.Dump() },
 		Ready:   b.Ready,
 	})
 	if err != nil {
-		return d.abort(err)
+		return d.Abort(err)
 	}
-	return d.run(func() { b.Stop(d.group.Context()) })
+	return d.Run(Version, func(context.Context) { b.Stop(d.Group.Context()) })
 }
--- a/io/conf/reader.go
+++ b/io/conf/reader.go
@@ -169,6 +169,16 @@
 	return time.Duration(n) * time.Millisecond
 }
 
+// seconds reads a time in seconds, which may have a fraction.
+func (r *reader) seconds(key string, fallback, low, high time.Duration) time.Duration {
+	n := fallback.Seconds()
+	allowed := fmt.Sprintf("a number of seconds from %g to %g", low.Seconds(), high.Seconds())
+	if r.value(key, &n, false, allowed) && (n < low.Seconds() || n > high.Seconds()) {
+		r.report(key, fmt.Sprint(n), allowed)
+	}
+	return time.Duration(n * float64(time.Second))
+}
+
 const addressForm = "an IP number and a port, for example 10.0.0.7:7400"
 
 func (r *reader) address(key string, required bool) netip.AddrPort {
--- /dev/null
+++ b/io/relay/agent.go
@@ -0,0 +1,157 @@
+package relay
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"monsoonstep/core/coord/gate"
+	"monsoonstep/core/errs"
+	"monsoonstep/core/state"
+	"monsoonstep/io/group"
+	"monsoonstep/io/logs"
+)
+
+const (
+	// leaveWait is the least time that an agent that stops goes on, so that balancers hear of it.
+	leaveWait = 150 * time.Millisecond
+	// busyWait bounds how long an agent that stops waits for answers under way.
+	busyWait = 1500 * time.Millisecond
+	// busyPoll is the time between two looks at them.
+	busyPoll = 50 * time.Millisecond
+)
+
+// Agent is a running agent for opaque flows.
+type Agent struct {
+	*node
+	settings AgentSettings
+	outbound *net.UDPConn
+	gate     *gate.Gate
+}
+
+// NewAgent starts an agent in a group.
+func NewAgent(g *group.Group, s AgentSettings, codec Codec, log logs.Logger, set *metrics.Set) (*Agent, error) {
+	n, err := newNode(g, s.Settings, codec, log, set, state.RoleAgent, s.Service)
+	if err != nil {
+		return nil, err
+	}
+	outbound, err := listen(s.Outbound, "outbound")
+	if err != nil {
+		return nil, err
+	}
+	a := &Agent{node: n, settings: s, outbound: outbound}
+	a.gate = gate.New(time.Now(), gate.Settings{
+		Self: s.Internal, Service: s.Service, HeartbeatPeriod: s.HeartbeatPeriod, FlowAge: s.FlowAge,
+	}, gate.Actions{Send: n.send, Deliver: a.deliver, Reply: a.reply, Reset: a.reset, Note: n.notes.note})
+	n.onRelay = a.gate.Receive
+	n.onPacket = a.packet
+	n.onTick = a.tick
+	n.onPause = a.gate.Paused
+	n.onMembers = a.members
+	n.start()
+	n.receive("target receiver", outbound, fromTarget)
+	return a, nil
+}
+
+// Heartbeat takes in what the target says of itself.
+func (a *Agent) Heartbeat(ctx context.Context, h gate.Heartbeat) (gate.Verdict, error) {
+	var verdict gate.Verdict
+	err := a.call(ctx, func(now time.Time) { verdict = a.gate.Heartbeat(now, h) })
+	return verdict, err
+}
+
+// Deregister notes that a target ends. It reports whether it was the present one.
+func (a *Agent) Deregister(ctx context.Context, id gate.TargetID) (bool, error) {
+	var present bool
+	err := a.call(ctx, func(now time.Time) { present = a.gate.Deregister(now, id) })
+	return present, err
+}
+
+// Ready returns why the agent takes no flows, or nil.
+func (a *Agent) Ready() error {
+	if a.stopped.Load() {
+		return errs.New(errs.Draining, "the agent is stopping")
+	}
+	return nil
+}
+
+// Stop ends the agent gracefully: no new flows come, answers under way go out, and the fleet is told.
+func (a *Agent) Stop(ctx context.Context) {
+	a.stopped.Store(true)
+	a.onOwner(ctx, func(now time.Time) { a.gate.Stop(now) })
+	end := time.Now().Add(min(busyWait, a.settings.Grace/2))
+	group.Sleep(ctx, leaveWait)
+	for time.Now().Before(end) {
+		active := 0
+		a.onOwner(ctx, func(time.Time) { active = a.gate.Active() })
+		if active == 0 || !group.Sleep(ctx, busyPoll) {
+			break
+		}
+	}
+	a.onOwner(ctx, func(time.Time) { a.sendGossip(a.fleet.leave()) })
+}
+
+// onOwner runs f on the owner of the state and logs if it did not run.
+func (a *Agent) onOwner(ctx context.Context, f func(time.Time)) {
+	if err := a.call(ctx, f); err != nil {
+		a.log.Part("process").Warn("a step of the stop was left out", "error", errs.Text(err))
+	}
+}
+
+func (a *Agent) packet(now time.Time, _ source, seg state.Segment) {
+	if seg.Returned {
+		a.codec.Restore(seg.Packet)
+	}
+	a.gate.Outbound(now, seg)
+}
+
+func (a *Agent) tick(now time.Time) {
+	a.gate.Tick(now)
+	a.fleet.announcePhase(a.gate.Phase())
+}
+
+func (a *Agent) members(_ time.Time, members []state.Member) {
+	a.gate.SetBalancers(balancers(members))
+}
+
+func (a *Agent) deliver(packet []byte) { a.write(a.outbound, a.settings.Target, packet) }
+
+func (a *Agent) reply(client state.End, packet []byte) {
+	a.write(a.outbound, netip.AddrPortFrom(netip.AddrFrom4(client.IP), a.settings.ClientPort), packet)
+}
+
+func (a *Agent) reset(flow state.FlowID, sequence uint32) {
+	a.reply(flow.Client, a.codec.Reset(flow, sequence))
+}
+
+// AgentDump is an agent's state for people.
+type AgentDump struct {
+	Member  state.Member
+	Gate    gate.Summary
+	Members []state.Member
+	Stopped bool
+	// Error tells why the rest is missing.
+	Error string
+}
+
+// Dump returns the state.
+func (a *Agent) Dump() AgentDump {
+	ctx, cancel := context.WithTimeout(a.group.Context(), dumpTimeout)
+	defer cancel()
+	var d AgentDump
+	err := a.call(ctx, func(now time.Time) {
+		d = AgentDump{
+			Member:  a.fleet.machine.Self(),
+			Gate:    a.gate.Summary(now),
+			Members: a.fleet.machine.Members(),
+			Stopped: a.stopped.Load(),
+		}
+	})
+	if err != nil {
+		return AgentDump{Error: errs.Text(err)}
+	}
+	return d
+}
--- /dev/null
+++ b/io/relay/config.go
@@ -0,0 +1,267 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"monsoonstep/core/coord/rank"
+	"monsoonstep/core/coord/relay"
+	"monsoonstep/core/errs"
+	"monsoonstep/core/state"
+	"monsoonstep/io/group"
+	"monsoonstep/io/logs"
+)
+
+const (
+	// watchers is how many balancers wait at the store for a change; the others hear of it from them.
+	watchers = 4
+	// watchKey ranks balancers for watching.
+	watchKey = 0x77617463686572
+	// watchWait is how long one call waits at the store: a watch that has gone silent is found out after it.
+	watchWait = 4 * time.Second
+	// watchSlack is how long the answer may take beyond that.
+	watchSlack = 700 * time.Millisecond
+	// readTimeout is the time of one read at the store.
+	readTimeout = 1500 * time.Millisecond
+	// idleRead is the time between two looks whether this balancer should watch.
+	idleRead = time.Second
+	// retryLeast and retryMost bound the pause after a failed call.
+	retryLeast = 200 * time.Millisecond
+	retryMost  = 2 * time.Second
+	// fetchTimeout is the time of one fetch from another balancer.
+	fetchTimeout = time.Second
+	// configPath is the page where a balancer shows the stored configuration that it has.
+	configPath = "/configuration"
+	// maxConfigBytes bounds a fetched configuration.
+	maxConfigBytes = 4 << 20
+)
+
+// stored is a configuration as it is stored, with its version.
+type stored struct {
+	version state.ConfigVersion
+	raw     []byte
+}
+
+// configKeeper keeps a balancer's configuration in step with the store and with the other balancers. The highest
+// version wins, wherever it comes from.
+type configKeeper struct {
+	b      *Balancer
+	source ConfigSource
+	log    logs.Logger
+	client *http.Client
+	// latest is what the page shows; it is nil before the first configuration.
+	latest atomic.Pointer[stored]
+	// wanted holds the address of a balancer that has a newer version.
+	wanted chan netip.AddrPort
+	// storeLost is true while the store does not answer.
+	storeLost atomic.Bool
+
+	mu sync.Mutex
+	// balancers are those that are thought to run.
+	balancers []netip.AddrPort
+}
+
+func newConfigKeeper(b *Balancer, source ConfigSource) *configKeeper {
+	return &configKeeper{
+		b:      b,
+		source: source,
+		log:    b.log.Part("config"),
+		client: &http.Client{Timeout: fetchTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
+		wanted: make(chan netip.AddrPort, 1),
+	}
+}
+
+func (k *configKeeper) start() {
+	k.b.group.Go("configuration watcher", k.watch)
+	k.b.group.Go("configuration fetcher", k.fetch)
+}
+
+func (k *configKeeper) pages(mux *http.ServeMux) {
+	mux.HandleFunc("GET "+configPath, func(w http.ResponseWriter, _ *http.Request) {
+		latest := k.latest.Load()
+		if latest == nil {
+			http.Error(w, "no configuration yet", http.StatusNotFound)
+			return
+		}
+		_, _ = w.Write(latest.raw)
+	})
+}
+
+func (k *configKeeper) setBalancers(list []netip.AddrPort) {
+	k.mu.Lock()
+	k.balancers = list
+	k.mu.Unlock()
+}
+
+// watches reports whether this balancer is one of those that wait at the store.
+func (k *configKeeper) watches() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	hashes := make([]uint64, 0, len(k.balancers))
+	for _, b := range k.balancers {
+		hashes = append(hashes, relay.NodeHash(b))
+	}
+	self := slices.Index(k.balancers, k.b.settings.Internal)
+	return self < 0 || slices.Contains(rank.Top(watchKey, hashes, watchers), self)
+}
+
+// watch is the duty that reads the store.
+func (k *configKeeper) watch(ctx context.Context) error {
+	pause := retryLeast
+	revision := state.Revision(0)
+	for ctx.Err() == nil {
+		if revision != 0 && !k.watches() {
+			revision = 0
+		}
+		if k.latest.Load() != nil && revision == 0 && !k.watches() {
+			group.Sleep(ctx, idleRead)
+			continue
+		}
+		next, err := k.once(ctx, revision)
+		if err != nil && ctx.Err() == nil {
+			k.lost(err)
+			revision = 0
+			group.Sleep(ctx, pause)
+			pause = min(retryMost, 2*pause)
+			continue
+		}
+		k.regained()
+		pause = retryLeast
+		revision = next
+	}
+	return nil
+}
+
+// once reads the configuration, or waits for one that is newer than a revision.
+func (k *configKeeper) once(ctx context.Context, after state.Revision) (state.Revision, error) {
+	if after == 0 {
+		limited, cancel := context.WithTimeout(ctx, readTimeout)
+		defer cancel()
+		raw, revision, err := k.source.Read(limited)
+		if err != nil {
+			return 0, err
+		}
+		return revision, k.take(ctx, raw, "store")
+	}
+	limited, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+	defer cancel()
+	raw, revision, err := k.source.Wait(limited, after, watchWait)
+	if errs.KindOf(err) == errs.NotFound {
+		k.log.Info("the store's history is gone; the configuration is read again", "after", after)
+		return 0, nil
+	}
+	if err != nil {
+		return 0, err
+	}
+	return revision, k.take(ctx, raw, "store")
+}
+
+func (k *configKeeper) lost(err error) {
+	if !k.storeLost.Swap(true) {
+		k.log.Warn("the store is lost", "error", errs.Text(err))
+	}
+}
+
+func (k *configKeeper) regained() {
+	if k.storeLost.Swap(false) {
+		k.log.Info("the store is regained")
+	}
+}
+
+// take puts a stored configuration in force if it is newer.
+func (k *configKeeper) take(ctx context.Context, raw []byte, from string) error {
+	if len(raw) == 0 {
+		return nil
+	}
+	c, err := k.source.Decode(raw)
+	if err != nil {
+		k.log.Error("a configuration can't be read and is left out", "from", from, "error", errs.Text(err))
+		return nil
+	}
+	return k.b.call(ctx, func(time.Time) {
+		before := k.b.steer.Config()
+		if !k.b.steer.Configure(c) {
+			return
+		}
+		k.latest.Store(&stored{version: c.Version, raw: raw})
+		k.b.fleet.announceConfig(c.Version, k.b.settings.Internal)
+		k.log.Info("a configuration is in force", "version", c.Version, "before", before, "from", from, "routes", len(c.Routes))
+	})
+}
+
+// follow asks for a fetch if the fleet tells of a newer version. It runs on the owner of the state.
+func (k *configKeeper) follow() {
+	version, holder := k.b.fleet.announced()
+	if version <= k.b.steer.Config() {
+		return
+	}
+	select {
+	case k.wanted <- holder:
+	default:
+	}
+}
+
+// fetch is the duty that reads configurations from other balancers.
+func (k *configKeeper) fetch(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case holder := <-k.wanted:
+			if err := k.fetchFrom(ctx, holder); err != nil {
+				k.log.Warn("a configuration could not be fetched", "from", holder, "error", errs.Text(err))
+				k.fetchElsewhere(ctx, holder)
+			}
+		}
+	}
+}
+
+// fetchElsewhere tries the other balancers, until one has a newer version.
+func (k *configKeeper) fetchElsewhere(ctx context.Context, failed netip.AddrPort) {
+	k.mu.Lock()
+	others := slices.Clone(k.balancers)
+	k.mu.Unlock()
+	had := k.version()
+	for _, other := range others {
+		if other == failed || other == k.b.settings.Internal {
+			continue
+		}
+		if err := k.fetchFrom(ctx, other); err == nil && k.version() > had {
+			return
+		}
+	}
+	group.Sleep(ctx, retryLeast)
+}
+
+func (k *configKeeper) version() state.ConfigVersion {
+	if latest := k.latest.Load(); latest != nil {
+		return latest.version
+	}
+	return 0
+}
+
+func (k *configKeeper) fetchFrom(ctx context.Context, holder netip.AddrPort) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+holder.String()+configPath, nil)
+	if err != nil {
+		return errs.Wrap(err, errs.BadInput, "address %s", holder)
+	}
+	response, err := k.client.Do(request)
+	if err != nil {
+		return errs.Wrap(err, errs.NotFound, "balancer does not answer")
+	}
+	defer func() { _ = response.Body.Close() }()
+	raw, err := io.ReadAll(io.LimitReader(response.Body, maxConfigBytes))
+	if err != nil {
+		return errs.Wrap(err, errs.NotFound, "configuration was cut short")
+	}
+	if response.StatusCode != http.StatusOK {
+		return errs.New(errs.NotFound, "status %d", response.StatusCode)
+	}
+	return k.take(ctx, raw, holder.String())
+}
--- /dev/null
+++ b/io/relay/fleet.go
@@ -0,0 +1,147 @@
+package relay
+
+import (
+	"net/netip"
+	"time"
+
+	"monsoonstep/core/coord/gossip"
+	"monsoonstep/core/state"
+	"monsoonstep/io/logs"
+)
+
+const (
+	// probePeriod and suspicion set how soon a silent node counts as dead, in all about two seconds.
+	probePeriod = 500 * time.Millisecond
+	suspicion   = 1200 * time.Millisecond
+	// gossipBytes bounds a node's membership messages, in bytes a second; a start of the whole fleet needs several
+	// times what an ordinary second does.
+	gossipBytes = 24 << 10
+	// joinPeriod is the time between two calls to the seeds while nobody answers.
+	joinPeriod = 250 * time.Millisecond
+	// rejoinPeriod is the time between two calls to the seeds otherwise, so that halves of a fleet find each other.
+	rejoinPeriod = 5 * time.Second
+	// configKey is the key of the record that tells the newest configuration and who has it.
+	configKey state.Key = "config"
+)
+
+// fleet is this node's membership. Only the owner of the state uses it.
+type fleet struct {
+	machine *gossip.Machine
+	seeds   []netip.AddrPort
+	log     logs.Logger
+	// seen is the machine's version when members were last handed out.
+	seen     uint64
+	nextJoin time.Time
+	// alone is true while no other node is known.
+	alone bool
+	left  bool
+}
+
+func newFleet(s Settings, role state.Role, service state.ServiceName, log logs.Logger) *fleet {
+	started := time.Now()
+	self := state.Member{
+		ID: state.NewInstanceID(s.Instance, state.Millis(started.UnixMilli())),
+		Announcement: state.Announcement{
+			Role:       role,
+			Service:    service,
+			DataCentre: s.DataCentre,
+			Region:     s.Region,
+			Gossip:     s.Internal,
+			Flow:       s.Internal,
+			Peer:       s.Internal,
+			Phase:      state.PhaseStarting,
+		},
+	}
+	machine := gossip.New(self, state.NewBook(), uint64(started.UnixNano()),
+		gossip.WithProbePeriod(probePeriod), gossip.WithSuspicion(suspicion), gossip.WithBytesPerSecond(gossipBytes))
+	return &fleet{machine: machine, seeds: s.Seeds, log: log, alone: true}
+}
+
+func (f *fleet) tick(now time.Time) []gossip.Send {
+	if f.left {
+		return nil
+	}
+	sends := f.machine.Tick(now)
+	if now.Before(f.nextJoin) {
+		return sends
+	}
+	f.nextJoin = now.Add(rejoinPeriod)
+	if f.machine.Size() == 1 {
+		f.nextJoin = now.Add(joinPeriod)
+	}
+	return append(sends, f.machine.Join(f.seeds)...)
+}
+
+func (f *fleet) receive(now time.Time, from netip.AddrPort, m gossip.Message) []gossip.Send {
+	return f.machine.Receive(now, from, m)
+}
+
+// changed returns the members if they changed since the last call.
+func (f *fleet) changed() ([]state.Member, bool) {
+	version := f.machine.Version()
+	if version == f.seen {
+		return nil, false
+	}
+	f.seen = version
+	if alone := f.machine.Size() == 1; alone != f.alone {
+		f.alone = alone
+		if alone {
+			f.log.Warn("no other node is known any more")
+		} else {
+			f.log.Info("other nodes are known", "members", f.machine.Size())
+		}
+	}
+	return f.machine.Members(), true
+}
+
+// addSeeds adds addresses to call.
+func (f *fleet) addSeeds(seeds []netip.AddrPort) {
+	f.seeds = append(f.seeds, seeds...)
+	f.nextJoin = time.Time{}
+}
+
+// announcePhase tells the fleet how far this node is in its life.
+func (f *fleet) announcePhase(p state.Phase) {
+	if f.machine.Self().Phase == p {
+		return
+	}
+	f.machine.Announce(func(a *state.Announcement) { a.Phase = p })
+}
+
+// announceConfig tells the fleet that this node has a version of the configuration.
+func (f *fleet) announceConfig(v state.ConfigVersion, holder netip.AddrPort) {
+	f.machine.Learn(state.Record{Key: configKey, Revision: state.Revision(v), Value: []byte(holder.String())})
+}
+
+// announced returns the newest version that the fleet tells of, and who has it.
+func (f *fleet) announced() (state.ConfigVersion, netip.AddrPort) {
+	r, ok := f.machine.Book().Get(configKey)
+	if !ok {
+		return 0, netip.AddrPort{}
+	}
+	holder, err := netip.ParseAddrPort(string(r.Value))
+	if err != nil {
+		return 0, netip.AddrPort{}
+	}
+	return state.ConfigVersion(r.Revision), holder
+}
+
+// leave tells others that this node goes.
+func (f *fleet) leave() []gossip.Send {
+	if f.left {
+		return nil
+	}
+	f.left = true
+	return f.machine.Leave()
+}
+
+// balancers returns the addresses of the balancers that run, this node included if it is one.
+func balancers(members []state.Member) []netip.AddrPort {
+	var found []netip.AddrPort
+	for _, m := range members {
+		if m.Role == state.RoleBalancer && m.Present() && m.Gossip.IsValid() {
+			found = append(found, m.Gossip)
+		}
+	}
+	return found
+}
