steer: open flows are carried without a configuration, new ones wait for it

Ruled out: membership (known within 50 ms) and targets (heard within 0.6 s). Change: packets of open flows are searched for and carried without a configuration, never reset; opening packets wait up to 1 s for a configuration or a target; reads are at most 0.4 s apart while there is none.

--- a/core/coord/gate/inbound.go
+++ b/core/coord/gate/inbound.go
@@ -40,7 +40,7 @@
 // refuse gives an opening packet back to its balancer.
 func (g *Gate) refuse(now time.Time, to netip.AddrPort, seg state.Segment, reason relay.Reason) {
 	g.do.Note(relay.Decision{
-		Event: relay.EventTurnedAway, Flow: seg.Flow, Peer: to, Reason: reason, Age: now.Sub(g.target.heard),
+		Event: relay.EventTurnedAway, Flow: seg.Flow, Peer: to, Reason: reason, Age: relay.AgeOf(now, g.target.heard),
 	})
 	g.do.Send(to, relay.Message{Kind: relay.KindRefused, Flow: seg.Flow, Reason: reason, Packet: seg.Packet})
 }
--- a/core/coord/gate/target.go
+++ b/core/coord/gate/target.go
@@ -67,6 +67,7 @@
 		return Foreign
 	}
 	t := &g.target
+	served := g.takes()
 	if !t.isSame(h) {
 		if g.isEarlier(now, h) {
 			return Stale
@@ -75,7 +76,7 @@
 	} else if h.Sequence < t.sequence {
 		return Late
 	}
-	g.refresh(now, h)
+	g.refresh(now, h, served)
 	return Taken
 }
 
@@ -123,15 +124,15 @@
 	}
 }
 
-func (g *Gate) refresh(now time.Time, h Heartbeat) {
+// refresh takes in a heartbeat of the present target; served tells whether the gate offered a target before it.
+func (g *Gate) refresh(now time.Time, h Heartbeat, served bool) {
 	t := &g.target
-	started := !g.takes()
 	if t.born == 0 {
 		t.born = h.Born
 		t.complete = t.complete || h.Sequence <= firstSequence
 	}
 	wasDraining := t.draining
-	age := now.Sub(t.heard)
+	age := relay.AgeOf(now, t.heard)
 	t.sequence = h.Sequence
 	t.slots = h.Slots
 	t.draining = h.Draining
@@ -142,7 +143,7 @@
 	case t.draining && !wasDraining:
 		g.do.Note(relay.Decision{Event: relay.EventTargetDraining, Peer: g.settings.Self, Count: g.held})
 		g.report(now)
-	case started && g.takes():
+	case !served && g.takes():
 		g.do.Note(relay.Decision{Event: relay.EventTargetReady, Peer: g.settings.Self, Age: age})
 		g.report(now)
 	}
@@ -174,7 +175,7 @@
 	}
 	g.target.gone = true
 	g.target.complete = true
-	g.do.Note(relay.Decision{Event: relay.EventTargetGone, Peer: g.settings.Self, Age: now.Sub(g.target.heard), Count: g.held})
+	g.do.Note(relay.Decision{Event: relay.EventTargetGone, Peer: g.settings.Self, Age: relay.AgeOf(now, g.target.heard), Count: g.held})
 	g.dropAll(now)
 	g.report(now)
 }
@@ -252,6 +253,6 @@
 func (g *Gate) Summary(now time.Time) Summary {
 	return Summary{
 		Target: g.target.id, Phase: g.Phase(), Refusal: g.refusal(), Complete: g.complete(now),
-		Heard: now.Sub(g.target.heard), Flows: g.held, Busy: g.busy, ServiceTime: g.serviceTime,
+		Heard: relay.AgeOf(now, g.target.heard), Flows: g.held, Busy: g.busy, ServiceTime: g.serviceTime,
 	}
 }
--- a/core/coord/relay/decision.go
+++ b/core/coord/relay/decision.go
@@ -70,3 +70,11 @@
 	// Count is a number that belongs to the event: targets weighed, answers, flows.
 	Count int
 }
+
+// AgeOf returns how old knowledge from a time is; zero if there is none.
+func AgeOf(now, learnt time.Time) time.Duration {
+	if learnt.IsZero() {
+		return 0
+	}
+	return now.Sub(learnt)
+}
--- a/core/coord/steer/choose.go
+++ b/core/coord/steer/choose.go
@@ -31,6 +31,11 @@
 		return
 	}
 	t, weighed := b.choose(now, service, seg.Flow, p.tried)
+	if t == nil && len(p.tried) == 0 && b.expects(now, service) {
+		delete(b.flows, seg.Flow)
+		b.wait(now, seg)
+		return
+	}
 	if t == nil {
 		b.refuse(seg, relay.ReasonNotReady, weighed)
 		return
@@ -42,7 +47,7 @@
 	t.sent++
 	b.do.Note(relay.Decision{
 		Event: relay.EventPlaced, Flow: seg.Flow, Peer: t.address, Config: b.config.Version,
-		Age: now.Sub(t.heardAt), Count: weighed,
+		Age: relay.AgeOf(now, t.heardAt), Count: weighed,
 	})
 	b.forward(relay.KindOpen, t, seg)
 }
--- a/core/coord/steer/search.go
+++ b/core/coord/steer/search.go
@@ -95,6 +95,10 @@
 
 // placeSearched offers a new flow whose place no owner knows.
 func (b *Balancer) placeSearched(now time.Time, s *search) {
+	if b.config.Version == 0 {
+		b.wait(now, s.segment)
+		return
+	}
 	route, ok := b.config.Routes[s.segment.Flow.Virtual]
 	if !ok {
 		b.refuseRoute(s.segment)
@@ -109,7 +113,7 @@
 // be agents that this balancer has not heard of.
 func (b *Balancer) conclude(now time.Time, s *search) {
 	b.endSearch(s.segment.Flow)
-	if !b.settled(now) {
+	if b.config.Version == 0 || !b.settled(now) {
 		return
 	}
 	b.reset(s.segment, relay.Decision{Age: now.Sub(s.since), Count: len(s.denied)})
--- a/core/coord/steer/steer.go
+++ b/core/coord/steer/steer.go
@@ -47,8 +47,10 @@
 	flows map[state.FlowID]*place
 	// searches holds the flows whose holder is being looked for.
 	searches map[state.FlowID]*search
-	owners   relay.Owners
-	started  time.Time
+	// waiting holds new flows for which a target is expected within moments.
+	waiting map[state.FlowID]*opening
+	owners  relay.Owners
+	started time.Time
 	// lastArrival is when an agent was last heard of for the first time.
 	lastArrival time.Time
 	nextSweep   time.Time
@@ -73,6 +75,7 @@
 		targets:  make(map[netip.AddrPort]*target),
 		flows:    make(map[state.FlowID]*place),
 		searches: make(map[state.FlowID]*search),
+		waiting:  make(map[state.FlowID]*opening),
 		started:  now,
 	}
 }
@@ -106,13 +109,11 @@
 // SetBalancers replaces the list of balancers, this one included.
 func (b *Balancer) SetBalancers(list []netip.AddrPort) { b.owners = relay.NewOwners(list) }
 
-// Packet handles a packet of a client.
+// Packet handles a packet of a client. Open flows are carried also before the first configuration: it decides only
+// where new flows go.
 func (b *Balancer) Packet(now time.Time, seg state.Segment) {
-	if b.config.Version == 0 {
-		return
-	}
 	route, ok := b.config.Routes[seg.Flow.Virtual]
-	if !ok {
+	if !ok && b.config.Version != 0 {
 		b.refuseRoute(seg)
 		return
 	}
@@ -128,6 +129,8 @@
 		b.repeat(now, route, seg, p)
 	case p != nil:
 		b.forward(relay.KindData, p.target, seg)
+	case seg.Opens && b.config.Version == 0:
+		b.wait(now, seg)
 	case seg.Opens && seg.Acknowledged == 0:
 		b.place(now, route, seg, &place{since: now})
 	default:
@@ -139,6 +142,7 @@
 func (b *Balancer) refuseRoute(seg state.Segment) {
 	delete(b.flows, seg.Flow)
 	delete(b.searches, seg.Flow)
+	delete(b.waiting, seg.Flow)
 	if seg.Resets {
 		return
 	}
@@ -149,7 +153,7 @@
 // drop resets a flow whose target is gone.
 func (b *Balancer) drop(now time.Time, seg state.Segment, p *place) {
 	delete(b.flows, seg.Flow)
-	b.reset(seg, relay.Decision{Peer: p.target.address, Age: now.Sub(p.target.heardAt)})
+	b.reset(seg, relay.Decision{Peer: p.target.address, Age: relay.AgeOf(now, p.target.heardAt)})
 }
 
 // reset tells a client that its flow is gone.
@@ -181,6 +185,7 @@
 			b.expireSearch(now, id, s)
 		}
 	}
+	b.serveWaiting(now)
 	if now.Before(b.nextSweep) {
 		return
 	}
--- a/core/coord/steer/target.go
+++ b/core/coord/steer/target.go
@@ -37,6 +37,8 @@
 	member bool
 	// changedAt is when the membership last said something new of the agent.
 	changedAt time.Time
+	// startedAt is when the present process of the agent was first heard of.
+	startedAt time.Time
 	phase     state.Phase
 	load      relay.Load
 	// heardAt is when the last load report came; zero if none has since the agent started.
@@ -72,6 +74,12 @@
 	return t.load.Takes && now.Sub(t.heardAt) < limit
 }
 
+// isStarting reports whether the agent runs, and started so recently that it may not have heard from its target.
+func (t *target) isStarting(now time.Time) bool {
+	running := t.health == state.HealthAlive || t.health == state.HealthSuspect
+	return t.member && running && t.phase == state.PhaseStarting && now.Sub(t.startedAt) < startTime
+}
+
 // SetMembers takes in the membership.
 func (b *Balancer) SetMembers(now time.Time, members []state.Member) {
 	newest := make(map[netip.AddrPort]state.Member)
@@ -112,6 +120,7 @@
 		t.heardAt = time.Time{}
 		t.load = relay.Load{Slots: m.Slots}
 		t.changedAt = now
+		t.startedAt = now
 		t.avoidUntil = time.Time{}
 	}
 	if t.health != m.Health || t.phase != m.Phase {
@@ -130,7 +139,7 @@
 		former.health = state.HealthDead
 		former.heardAt = time.Time{}
 	}
-	t := &target{address: m.Flow, service: m.Service, hash: relay.NodeHash(m.Flow), id: m.ID, changedAt: now}
+	t := &target{address: m.Flow, service: m.Service, hash: relay.NodeHash(m.Flow), changedAt: now}
 	b.targets[m.Flow] = t
 	b.lastArrival = now
 	return t
@@ -158,11 +167,11 @@
 	return count
 }
 
-// holders returns the targets that may hold a flow to an address.
+// holders returns the targets that may hold a flow to an address: all of them before the first configuration.
 func (b *Balancer) holders(virtual state.End) []*target {
 	var found []*target
 	for _, t := range b.targets {
-		if slices.Contains(b.served[virtual], t.service) {
+		if b.config.Version == 0 || slices.Contains(b.served[virtual], t.service) {
 			found = append(found, t)
 		}
 	}
@@ -196,7 +205,7 @@
 	for _, t := range b.targets {
 		rows = append(rows, Row{
 			Address: t.address, Agent: t.id, Service: t.service, Health: t.health, Takes: t.takes(now),
-			Load: t.load, Age: now.Sub(t.heardAt), Sent: t.sent,
+			Load: t.load, Age: relay.AgeOf(now, t.heardAt), Sent: t.sent,
 		})
 	}
 	return rows
--- a/io/relay/config.go
+++ b/io/relay/config.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
+
 	"monsoonstep/core/coord/rank"
 	"monsoonstep/core/coord/relay"
 	"monsoonstep/core/errs"
@@ -31,9 +33,11 @@
 	readTimeout = 1500 * time.Millisecond
 	// idleRead is the time between two looks whether this balancer should watch.
 	idleRead = time.Second
-	// retryLeast and retryMost bound the pause after a failed call.
-	retryLeast = 200 * time.Millisecond
+	// retryLeast and retryMost bound the pause after a failed call; retryFirst is the most while there is no
+	// configuration at all, because new flows wait for it.
+	retryLeast = 150 * time.Millisecond
 	retryMost  = 2 * time.Second
+	retryFirst = 400 * time.Millisecond
 	// fetchTimeout is the time of one fetch from another balancer.
 	fetchTimeout = time.Second
 	// configPath is the page where a balancer shows the stored configuration that it has.
@@ -113,7 +117,9 @@
 
 // watch is the duty that reads the store.
 func (k *configKeeper) watch(ctx context.Context) error {
-	pause := retryLeast
+	pauses := backoff.NewExponentialBackOff()
+	pauses.InitialInterval = retryLeast
+	pauses.MaxInterval = retryMost
 	revision := state.Revision(0)
 	for ctx.Err() == nil {
 		if revision != 0 && !k.watches() {
@@ -127,17 +133,23 @@
 		if err != nil && ctx.Err() == nil {
 			k.lost(err)
 			revision = 0
-			group.Sleep(ctx, pause)
-			pause = min(retryMost, 2*pause)
+			group.Sleep(ctx, k.limitPause(pauses.NextBackOff()))
 			continue
 		}
 		k.regained()
-		pause = retryLeast
+		pauses.Reset()
 		revision = next
 	}
 	return nil
 }
 
+func (k *configKeeper) limitPause(pause time.Duration) time.Duration {
+	if k.latest.Load() == nil {
+		return min(pause, retryFirst)
+	}
+	return pause
+}
+
 // once reads the configuration, or waits for one that is newer than a revision.
 func (k *configKeeper) once(ctx context.Context, after state.Revision) (state.Revision, error) {
 	if after == 0 {
@@ -163,6 +175,10 @@
 }
 
 func (k *configKeeper) lost(err error) {
+	if errs.KindOf(err) == errs.NotFound {
+		k.log.Info("the store has no configuration yet")
+		return
+	}
 	if !k.storeLost.Swap(true) {
 		k.log.Warn("the store is lost", "error", errs.Text(err))
 	}
