--- /dev/null
+++ b/core/coord/gate/gate_test.go
@@ -0,0 +1,355 @@
+package gate_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"monsoonstep/core/coord/gate"
+	"monsoonstep/core/coord/relay"
+	"monsoonstep/core/state"
+)
+
+const (
+	service   state.ServiceName = "atelier"
+	heartbeat                   = time.Second
+	flowAge                     = time.Minute
+)
+
+var (
+	self    = netip.MustParseAddrPort("10.0.1.1:7700")
+	front   = netip.MustParseAddrPort("10.0.0.1:7700")
+	second  = netip.MustParseAddrPort("10.0.0.2:7700")
+	virtual = state.End{IP: [4]byte{198, 18, 0, 1}, Port: 443}
+	start   = time.Unix(1_000_000, 0)
+)
+
+// sent is one message that the gate sent.
+type sent struct {
+	to netip.AddrPort
+	relay.Message
+	packet string
+}
+
+// world is a gate with everything that it did.
+type world struct {
+	is        *is.I
+	g         *gate.Gate
+	now       time.Time
+	sequence  uint64
+	sent      []sent
+	delivered []string
+	replies   []string
+	resets    []state.FlowID
+}
+
+func newWorld(t *testing.T) *world {
+	w := &world{is: is.New(t), now: start}
+	w.restart()
+	return w
+}
+
+// restart makes a new gate: the agent's process was started again.
+func (w *world) restart() {
+	w.g = gate.New(w.now, gate.Settings{
+		Self: self, Service: service, HeartbeatPeriod: heartbeat, FlowAge: flowAge,
+	}, gate.Actions{
+		Send: func(to netip.AddrPort, m relay.Message) {
+			w.sent = append(w.sent, sent{to: to, Message: m, packet: string(m.Packet)})
+		},
+		Deliver: func(packet []byte) { w.delivered = append(w.delivered, string(packet)) },
+		Reply:   func(_ state.End, packet []byte) { w.replies = append(w.replies, string(packet)) },
+		Reset:   func(f state.FlowID, _ uint32) { w.resets = append(w.resets, f) },
+		Note:    func(relay.Decision) {},
+	})
+	w.g.SetBalancers([]netip.AddrPort{front, second})
+}
+
+func (w *world) beat(id string, born state.Millis, draining bool) gate.Verdict {
+	w.sequence++
+	return w.g.Heartbeat(w.now, gate.Heartbeat{
+		ID: gate.TargetID(id), Born: born, Sequence: w.sequence, Service: service, Slots: 2, Draining: draining,
+	})
+}
+
+// pass lets time pass; the target goes on with its heartbeats unless id is empty.
+func (w *world) pass(d time.Duration, id string, born state.Millis) {
+	next := w.now.Add(heartbeat)
+	for end := w.now.Add(d); w.now.Before(end); {
+		w.now = w.now.Add(gate.TickPeriod)
+		if id != "" && !w.now.Before(next) {
+			w.beat(id, born, false)
+			next = w.now.Add(heartbeat)
+		}
+		w.g.Tick(w.now)
+	}
+}
+
+func (w *world) clear() { w.sent, w.delivered, w.replies, w.resets = nil, nil, nil, nil }
+
+func (w *world) kinds(kind relay.Kind) []sent {
+	var found []sent
+	for _, s := range w.sent {
+		if s.Kind == kind {
+			found = append(found, s)
+		}
+	}
+	return found
+}
+
+func flow(n uint16) state.FlowID {
+	return state.FlowID{Client: state.End{IP: [4]byte{100, 64, 0, 1}, Port: n}, Virtual: virtual}
+}
+
+func syn(f state.FlowID) state.Segment {
+	return state.Segment{Flow: f, Opens: true, Packet: []byte("syn")}
+}
+
+func data(f state.FlowID) state.Segment {
+	return state.Segment{Flow: f, Acknowledges: true, Acknowledged: 9, DataLen: 10, Packet: []byte("data")}
+}
+
+func (w *world) receive(kind relay.Kind, seg state.Segment) {
+	w.g.Receive(w.now, front, relay.Message{Kind: kind, Flow: seg.Flow, Service: service.ID(), Packet: seg.Packet}, seg)
+}
+
+// open opens a flow at the target.
+func (w *world) open(f state.FlowID) {
+	w.receive(relay.KindOpen, syn(f))
+	w.g.Outbound(w.now, state.Segment{Flow: f, Opens: true, Acknowledges: true, Packet: []byte("syn+ack")})
+}
+
+func (w *world) returned(seg state.Segment) {
+	seg.Returned = true
+	w.g.Outbound(w.now, seg)
+}
+
+func TestFlowOpensAndItsOwnersAreTold(t *testing.T) {
+	w := newWorld(t)
+	w.beat("t1", 1, false)
+	w.clear()
+	w.open(flow(1))
+	w.is.Equal(w.delivered, []string{"syn"})
+	w.is.Equal(w.replies, []string{"syn+ack"})
+	held := w.kinds(relay.KindHeld)
+	w.is.Equal(len(held), 2) // both balancers own it
+	w.is.Equal(held[0].Holder, self)
+}
+
+// Before the first heartbeat the gate can't know whether the target is leaving.
+func TestNothingIsOfferedBeforeTheFirstHeartbeat(t *testing.T) {
+	w := newWorld(t)
+	w.receive(relay.KindOpen, syn(flow(1)))
+	w.is.Equal(len(w.delivered), 0)
+	w.is.Equal(w.kinds(relay.KindRefused)[0].Reason, relay.ReasonNotReady)
+}
+
+func TestDrainingTargetKeepsFlowsAndGetsNoNewOnes(t *testing.T) {
+	w := newWorld(t)
+	w.beat("t1", 1, false)
+	w.open(flow(1))
+	w.beat("t1", 1, true)
+	w.clear()
+	w.receive(relay.KindOpen, syn(flow(2)))
+	w.is.Equal(len(w.delivered), 0)
+	w.is.Equal(w.kinds(relay.KindRefused)[0].Reason, relay.ReasonDraining)
+	w.receive(relay.KindData, data(flow(1)))
+	w.is.Equal(w.delivered, []string{"data"})
+	w.is.Equal(len(w.resets), 0)
+}
+
+func TestOpeningForAnotherServiceIsRefused(t *testing.T) {
+	w := newWorld(t)
+	w.beat("t1", 1, false)
+	w.clear()
+	seg := syn(flow(1))
+	w.g.Receive(w.now, front, relay.Message{Kind: relay.KindOpen, Flow: seg.Flow, Service: 4711, Packet: seg.Packet}, seg)
+	w.is.Equal(len(w.delivered), 0)
+	w.is.Equal(w.kinds(relay.KindRefused)[0].Reason, relay.ReasonMisdirected)
+}
+
+func TestReturnedOpeningGoesBackToItsBalancer(t *testing.T) {
+	w := newWorld(t)
+	w.beat("t1", 1, false)
+	w.receive(relay.KindOpen, syn(flow(1)))
+	w.clear()
+	w.returned(syn(flow(1)))
+	refused := w.kinds(relay.KindRefused)
+	w.is.Equal(len(refused), 1)
+	w.is.Equal(refused[0].to, front)
+	w.is.Equal(refused[0].Reason, relay.ReasonFull)
+	w.is.Equal(refused[0].packet, "syn")
+	w.is.Equal(len(w.replies), 0) // a returned packet is the client's own and never goes to it
+}
+
+// A new start of the target knows nothing of the flows before: their clients are told at once.
+func TestNewStartOfTheTargetResetsItsFlows(t *testing.T) {
+	w := newWorld(t)
+	w.beat("t1", 1, false)
+	w.open(flow(1))
+	w.sequence = 0
+	w.is.Equal(w.beat("t1", 2000, false), gate.Taken) // the same id, started again
+	w.is.Equal(w.resets, []state.FlowID{flow(1)})
+}
+
+func TestLateHeartbeatsOfAnEarlierStartChangeNothing(t *testing.T) {
+	w := newWorld(t)
+	w.beat("t1", 1000, true)
+	w.beat("t2", 2000, false)
+	w.clear()
+	w.is.Equal(w.beat("t1", 1000, true), gate.Stale) // a known id of before
+	w.is.Equal(w.beat("t0", 500, true), gate.Stale)  // an unknown one that was born earlier
+	w.is.Equal(w.beat("t2", 1500, true), gate.Stale) // an earlier start under the present id
+	w.receive(relay.KindOpen, syn(flow(1)))
+	w.is.Equal(w.delivered, []string{"syn"})
+
+	w.sequence = 0
+	w.is.Equal(w.beat("t2", 2000, true), gate.Late)
+	w.receive(relay.KindOpen, syn(flow(2)))
+	w.is.Equal(len(w.delivered), 2)
+}
+
+// The time of day may jump back between two starts: an unknown id that was born earlier is a new start once the
+// former one is silent.
+func TestNewStartAfterTheClockWentBack(t *testing.T) {
+	w := newWorld(t)
+	w.beat("t1", 10_000, false)
+	w.pass(2200*time.Millisecond, "", 0)
+	w.is.Equal(w.beat("t2", 7_000, false), gate.Taken)
+}
+
+func TestSilentTargetIsGoneAndItsFlowsAreReset(t *testing.T) {
+	w := newWorld(t)
+	w.beat("t1", 1, false)
+	w.open(flow(1))
+	w.pass(2*time.Second, "t1", 1)
+	w.is.Equal(len(w.resets), 0)
+	w.pass(3*time.Second, "", 0)
+	w.is.Equal(w.resets, []state.FlowID{flow(1)})
+	w.clear()
+	w.receive(relay.KindOpen, syn(flow(2)))
+	w.is.Equal(w.kinds(relay.KindRefused)[0].Reason, relay.ReasonNotReady)
+}
+
+// A pause of the machine stops both processes; the target's heartbeats still wait to be read.
+func TestPauseOfTheProcessDoesNotMakeTheTargetSilent(t *testing.T) {
+	w := newWorld(t)
+	w.beat("t1", 1, false)
+	w.open(flow(1))
+	w.now = w.now.Add(6 * time.Second)
+	w.g.Paused(6 * time.Second)
+	w.g.Tick(w.now)
+	w.is.Equal(len(w.resets), 0)
+}
+
+func TestDeregisterResetsAtOnce(t *testing.T) {
+	w := newWorld(t)
+	w.beat("t1", 1, false)
+	w.open(flow(1))
+	w.is.True(!w.g.Deregister(w.now, "t0"))
+	w.is.Equal(len(w.resets), 0)
+	w.is.True(w.g.Deregister(w.now, "t1"))
+	w.is.Equal(w.resets, []state.FlowID{flow(1)})
+}
+
+// A gate that has seen its target start knows all of its flows, and denies others without asking it.
+func TestCompleteGateDeniesUnknownFlows(t *testing.T) {
+	w := newWorld(t)
+	w.beat("t1", 1, false)
+	w.clear()
+	w.receive(relay.KindAsk, data(flow(1)))
+	w.receive(relay.KindData, data(flow(2)))
+	w.is.Equal(len(w.delivered), 0)
+	denied := w.kinds(relay.KindNotHeld)
+	w.is.Equal(len(denied), 2)
+	w.is.Equal(denied[0].packet, "")     // an asked packet went to others too
+	w.is.Equal(denied[1].packet, "data") // one that was sent here goes back
+}
+
+// An agent that was started beside a running target asks the target, which returns what it does not hold.
+func TestRestartedGateAsksItsTarget(t *testing.T) {
+	w := newWorld(t)
+	w.sequence = 50
+	w.beat("t1", 1, false)
+	w.clear()
+	w.receive(relay.KindAsk, data(flow(1)))
+	w.receive(relay.KindAsk, data(flow(2)))
+	w.is.Equal(len(w.delivered), 2)
+	w.returned(data(flow(1)))
+	w.is.Equal(len(w.kinds(relay.KindNotHeld)), 1)
+	w.pass(200*time.Millisecond, "t1", 1)
+	held := w.kinds(relay.KindHeld)
+	w.is.Equal(len(held), 2) // flow 2 was kept: both owners are told
+	w.is.Equal(held[0].Flow, flow(2))
+}
+
+func TestRestartedGateLearnsFromWhatTheTargetSends(t *testing.T) {
+	w := newWorld(t)
+	w.sequence = 50
+	w.beat("t1", 1, false)
+	w.clear()
+	w.g.Outbound(w.now, state.Segment{Flow: flow(1), DataLen: 5, Packet: []byte("answer")})
+	w.is.Equal(w.replies, []string{"answer"})
+	w.is.Equal(len(w.kinds(relay.KindHeld)), 2)
+}
+
+func TestNewOwnersAreTold(t *testing.T) {
+	w := newWorld(t)
+	w.g.SetBalancers([]netip.AddrPort{front})
+	w.beat("t1", 1, false)
+	w.open(flow(1))
+	w.clear()
+	w.g.SetBalancers([]netip.AddrPort{front, second})
+	held := w.kinds(relay.KindHeld)
+	w.is.Equal(len(held), 1)
+	w.is.Equal(held[0].to, second)
+}
+
+func TestEndedFlowStaysForItsLastPackets(t *testing.T) {
+	w := newWorld(t)
+	w.beat("t1", 1, false)
+	w.open(flow(1))
+	fin := data(flow(1))
+	fin.Finishes = true
+	w.receive(relay.KindData, fin)
+	w.g.Outbound(w.now, state.Segment{Flow: flow(1), Finishes: true, Packet: []byte("fin")})
+	w.is.Equal(w.g.Held(), 0)
+	w.clear()
+	w.receive(relay.KindData, fin)
+	w.is.Equal(w.delivered, []string{"data"})
+	w.pass(6*time.Second, "t1", 1)
+	w.receive(relay.KindData, fin)
+	w.is.Equal(len(w.kinds(relay.KindNotHeld)), 1)
+}
+
+func TestLoadIsWhatPassed(t *testing.T) {
+	w := newWorld(t)
+	w.beat("t1", 1, false)
+	w.open(flow(1))
+	w.receive(relay.KindData, data(flow(1)))
+	w.is.Equal(w.g.Active(), 1)
+	w.now = w.now.Add(40 * time.Millisecond)
+	w.g.Outbound(w.now, state.Segment{Flow: flow(1), DataLen: 5, Packet: []byte("answer")})
+	w.is.Equal(w.g.Active(), 0)
+	w.clear()
+	w.pass(300*time.Millisecond, "t1", 1)
+	load := w.kinds(relay.KindLoad)[0].Load
+	w.is.Equal(load.ServiceTime, 40*time.Millisecond)
+	w.is.Equal(load.Flows, 1)
+	w.is.Equal(load.Slots, 2)
+	w.is.True(load.Takes)
+}
+
+func TestStoppingGateRefusesAndCarriesOn(t *testing.T) {
+	w := newWorld(t)
+	w.beat("t1", 1, false)
+	w.open(flow(1))
+	w.g.Stop(w.now)
+	w.clear()
+	w.receive(relay.KindOpen, syn(flow(2)))
+	w.is.Equal(w.kinds(relay.KindRefused)[0].Reason, relay.ReasonStopping)
+	w.receive(relay.KindData, data(flow(1)))
+	w.is.Equal(w.delivered, []string{"data"})
+}
--- a/core/coord/relay/message.go
+++ b/core/coord/relay/message.go
@@ -37,6 +37,11 @@
 	KindCount
 )
 
+// CarriesPacket reports whether a message of the kind always has a packet.
+func (k Kind) CarriesPacket() bool {
+	return k == KindOpen || k == KindData || k == KindAsk || k == KindRefused
+}
+
 // Reason is why an opening packet was refused.
 type Reason uint8
 
--- /dev/null
+++ b/core/proto/hops/hops_test.go
@@ -0,0 +1,109 @@
+package hops_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"monsoonstep/core/coord/gossip"
+	"monsoonstep/core/coord/relay"
+	"monsoonstep/core/proto/hops"
+	"monsoonstep/core/state"
+)
+
+func drawAddress(t *rapid.T, label string) netip.AddrPort {
+	n := rapid.Uint32().Draw(t, label)
+	port := rapid.Uint16Range(1, 65535).Draw(t, label+" port")
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{byte(n >> 24), byte(n >> 16), byte(n >> 8), byte(n)}), port)
+}
+
+func drawMessage(t *rapid.T) relay.Message {
+	m := relay.Message{
+		Kind: relay.Kind(rapid.IntRange(1, int(relay.KindCount)-1).Draw(t, "kind")),
+		Flow: state.FlowID{
+			Client: state.EndOf(drawAddress(t, "client")), Virtual: state.EndOf(drawAddress(t, "virtual")),
+		},
+		Service: state.ServiceID(rapid.Uint32().Draw(t, "service")),
+		Config:  state.ConfigVersion(rapid.Uint64().Draw(t, "config")),
+		Holder:  drawAddress(t, "holder"),
+		Reason:  relay.Reason(rapid.IntRange(0, 5).Draw(t, "reason")),
+		Packet:  rapid.SliceOfN(rapid.Byte(), 1, 1300).Draw(t, "packet"),
+	}
+	if m.Kind == relay.KindLoad {
+		m.Load = relay.Load{
+			Takes:       rapid.Bool().Draw(t, "takes"),
+			Busy:        rapid.IntRange(0, 1000).Draw(t, "busy"),
+			MeanBusy:    float64(rapid.IntRange(0, 1000).Draw(t, "mean")) / 4,
+			Flows:       rapid.IntRange(0, 5000).Draw(t, "flows"),
+			Slots:       rapid.IntRange(0, 100).Draw(t, "slots"),
+			ServiceTime: time.Duration(rapid.IntRange(0, 1e6).Draw(t, "time")) * time.Microsecond,
+			Warmup:      time.Duration(rapid.IntRange(0, 1e4).Draw(t, "warmup")) * time.Millisecond,
+			Period:      time.Duration(rapid.IntRange(0, 1e4).Draw(t, "period")) * time.Millisecond,
+		}
+	}
+	return m
+}
+
+func TestRelayRoundTrip(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		m := drawMessage(rt)
+		decoded, err := hops.DecodeRelay(hops.AppendRelay(nil, m))
+		is := is.New(t)
+		is.NoErr(err)
+		is.Equal(decoded, m)
+	})
+}
+
+func TestGossipRoundTrip(t *testing.T) {
+	is := is.New(t)
+	address := netip.MustParseAddrPort("10.0.0.7:7700")
+	m := gossip.Message{
+		Kind: gossip.KindDiff, Sequence: 9, From: "a/1", To: "b/2", Target: "c/3", TargetAddress: address,
+		Members: []state.Member{{
+			ID: "d/4", Incarnation: 5, Health: state.HealthSuspect,
+			Announcement: state.Announcement{
+				Role: state.RoleAgent, Service: "atelier", DataCentre: "x", Region: "y",
+				Gossip: address, Flow: address, Peer: address, Slots: 7, Phase: state.PhaseServing,
+				Since: 1, AbsentFrom: 2, AbsentTo: 3,
+			},
+		}},
+		Records: []state.Record{{Key: "config", Revision: 8, Value: []byte("v")}},
+		Digest:  &gossip.Digest{},
+	}
+	m.Digest.Members[3] = 17
+	m.Digest.Records[5] = 19
+	decoded, err := hops.DecodeGossip(hops.AppendGossip(nil, m))
+	is.NoErr(err)
+	is.Equal(decoded, m)
+}
+
+func TestDamagedDatagramsAreErrors(t *testing.T) {
+	is := is.New(t)
+	whole := hops.AppendRelay(nil, relay.Message{Kind: relay.KindData, Packet: []byte("packet")})
+	for n := range len(whole) {
+		_, err := hops.DecodeRelay(whole[:n])
+		is.True(err != nil) // a datagram that was cut short
+	}
+	_, err := hops.DecodeRelay([]byte{byte(hops.SortRelay), 8, 200, 1})
+	is.True(err != nil) // an unknown kind
+	_, ok := hops.SortOf([]byte{99})
+	is.True(!ok)
+}
+
+func FuzzDecodeHops(f *testing.F) {
+	f.Add(hops.AppendRelay(nil, relay.Message{Kind: relay.KindLoad, Load: relay.Load{Takes: true, Busy: 3}}))
+	f.Add(hops.AppendGossip(nil, gossip.Message{Kind: gossip.KindPing, From: "a/1", Digest: &gossip.Digest{}}))
+	f.Fuzz(func(t *testing.T, datagram []byte) {
+		if m, err := hops.DecodeRelay(datagram); err == nil {
+			if again, err := hops.DecodeRelay(hops.AppendRelay(nil, m)); err != nil || again.Kind != m.Kind {
+				t.Fatalf("a decoded message does not survive another round: %v", err)
+			}
+		}
+		if m, err := hops.DecodeGossip(datagram); err == nil && m.From == "" {
+			t.Fatal("a message without a sender was taken")
+		}
+	})
+}
--- a/core/proto/hops/relay.go
+++ b/core/proto/hops/relay.go
@@ -79,6 +79,9 @@
 	if m.Kind == 0 || m.Kind >= relay.KindCount {
 		return relay.Message{}, errs.New(errs.BadInput, "relay message of unknown kind %d", m.Kind)
 	}
+	if m.Kind.CarriesPacket() && len(m.Packet) == 0 {
+		return relay.Message{}, errs.New(errs.BadInput, "relay message of kind %d lacks its packet", m.Kind)
+	}
 	return m, nil
 }
 
