steer, gate: full targets get no new flows; these wait up to 1 s where they can still be placed

Resets of dead flows came 0.5 s late because denied flows waited for the caller's next copy. Ruled out: configuration (in force 0.1 s after each start). Tests name the pattern.

--- a/core/coord/gate/gate.go
+++ b/core/coord/gate/gate.go
@@ -55,6 +55,16 @@
 	reportPeriod = 200 * time.Millisecond
 	// reportsPerSecond bounds the load reports of one gate: above it the period is stretched.
 	reportsPerSecond = 60
+	// firstRequestWait is how long a new flow counts as a request before its first one has come.
+	firstRequestWait = 100 * time.Millisecond
+	// queueLeast and queueMost bound how many requests may be at a target before it gets no new flows, in multiples of
+	// its slots. Those that wait beyond that are better off at a balancer, which can still place them elsewhere. The
+	// least keeps all slots in use until a balancer hears that there is room.
+	queueLeast = 1.5
+	queueMost  = 3
+	// queueShare is the share of the latency objective in which a new request should be answered, so that most are
+	// answered within all of it.
+	queueShare = 0.6
 	// smoothing is the weight of one sample in the mean time of an answer.
 	smoothing = 0.1
 	// meanWindow is the time over which the mean number of requests at the target is taken.
@@ -78,6 +88,8 @@
 	meanBusy    float64
 	lastTick    time.Time
 	serviceTime time.Duration
+	// objective is the latency objective of the flows that were opened last; zero if unknown.
+	objective time.Duration
 	// unsureUntil is when a gate that started beside a running target knows all of its flows: flows that
 	// were silent for so long may be dropped by anyone.
 	unsureUntil time.Time
@@ -108,9 +120,12 @@
 	last     time.Time
 	// acknowledged is what the client last acknowledged; a reset must carry a number near it.
 	acknowledged uint32
-	// busy is set from a request's first packet to the first packet of its answer.
-	busy       bool
-	busySince  time.Time
+	// busy is set from the opening, and from each request's first packet, to the first packet of an answer.
+	busy      bool
+	busySince time.Time
+	// asked is set once the first request has come.
+	asked bool
+	// sample is true if the time of the present answer tells how fast the target is.
 	sample     bool
 	finClient  bool
 	finTarget  bool
--- a/core/coord/gate/gate_test.go
+++ b/core/coord/gate/gate_test.go
@@ -342,6 +342,23 @@
 	w.is.True(load.Takes)
 }
 
+// Pattern: more new flows than the target can answer in time. What is beyond goes back to the balancers.
+func TestFullTargetGetsNoNewFlows(t *testing.T) {
+	w := newWorld(t)
+	w.beat("t1", 1, false)
+	for n := range uint16(6) { // three times its two slots
+		w.open(flow(n))
+		w.receive(relay.KindData, data(flow(n)))
+	}
+	w.clear()
+	w.receive(relay.KindOpen, syn(flow(99)))
+	w.is.Equal(len(w.delivered), 0)
+	w.is.Equal(w.kinds(relay.KindRefused)[0].Reason, relay.ReasonFull)
+	w.g.Outbound(w.now, state.Segment{Flow: flow(1), DataLen: 5, Packet: []byte("answer")})
+	w.receive(relay.KindOpen, syn(flow(99)))
+	w.is.Equal(w.delivered, []string{"syn"})
+}
+
 func TestStoppingGateRefusesAndCarriesOn(t *testing.T) {
 	w := newWorld(t)
 	w.beat("t1", 1, false)
--- a/core/coord/gate/inbound.go
+++ b/core/coord/gate/inbound.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"math"
 	"net/netip"
 	"time"
 
@@ -33,10 +34,29 @@
 		g.refuse(now, from, seg, reason)
 		return
 	}
-	g.flows[seg.Flow] = &flow{phase: offered, balancer: from, since: now, last: now}
+	g.objective = m.Target
+	if g.room() == 0 {
+		g.refuse(now, from, seg, relay.ReasonFull)
+		return
+	}
+	g.flows[seg.Flow] = &flow{phase: offered, balancer: from, since: now, last: now, busy: true, busySince: now}
+	g.busy++
 	g.do.Deliver(seg.Packet)
 }
 
+// room returns how many more requests the target may be given. The limit is where a new one would still be answered
+// within its latency objective.
+func (g *Gate) room() int {
+	if g.target.slots <= 0 {
+		return math.MaxInt32
+	}
+	factor := float64(queueMost)
+	if g.serviceTime > 0 && g.objective > 0 {
+		factor = min(queueMost, max(queueLeast, queueShare*float64(g.objective)/float64(g.serviceTime)))
+	}
+	return max(0, int(factor*float64(g.target.slots))-g.busy)
+}
+
 // refuse gives an opening packet back to its balancer.
 func (g *Gate) refuse(now time.Time, to netip.AddrPort, seg state.Segment, reason relay.Reason) {
 	g.do.Note(relay.Decision{
@@ -94,12 +114,15 @@
 }
 
 func (g *Gate) startRequest(now time.Time, f *flow) {
-	if f.busy || f.phase == closed {
+	if f.phase == closed || f.busy && f.asked {
 		return
 	}
+	if !f.busy {
+		g.busy++
+	}
+	f.asked = true
 	f.busy = true
 	f.busySince = now
-	g.busy++
 	f.sample = g.busy <= max(1, g.target.slots)
 }
 
--- a/core/coord/gate/tick.go
+++ b/core/coord/gate/tick.go
@@ -33,13 +33,21 @@
 			g.forget(id, f)
 		case now.Sub(f.since) > g.settings.FlowAge && quiet > closedAge:
 			g.forget(id, f)
-		case f.busy && now.Sub(f.busySince) > busyLimit:
+		case f.busy && now.Sub(f.busySince) > f.busyLimit():
 			f.sample = false
 			g.endRequest(now, f)
 		}
 	}
 }
 
+// busyLimit is how long the flow counts as busy without an answer.
+func (f *flow) busyLimit() time.Duration {
+	if f.asked {
+		return busyLimit
+	}
+	return firstRequestWait
+}
+
 // report tells every balancer how busy the target is.
 func (g *Gate) report(now time.Time) {
 	period := max(reportPeriod, time.Duration(len(g.owners.All()))*time.Second/reportsPerSecond)
@@ -53,6 +61,7 @@
 			Reason:      reason,
 			Busy:        g.busy,
 			MeanBusy:    g.meanBusy,
+			Room:        g.room(),
 			Flows:       g.held,
 			Slots:       g.target.slots,
 			ServiceTime: g.serviceTime,
--- a/core/coord/relay/message.go
+++ b/core/coord/relay/message.go
@@ -78,6 +78,8 @@
 	Busy int
 	// MeanBusy is the mean of Busy over some seconds.
 	MeanBusy float64
+	// Room is how many more requests the target may be given before new flows would wait too long; zero if it is full.
+	Room int
 	// Flows is how many flows the target holds.
 	Flows int
 	// Slots is how many requests the target runs at once.
@@ -101,6 +103,8 @@
 	Config state.ConfigVersion
 	// Holder is the address of the agent that holds the flow, in a held.
 	Holder netip.AddrPort
+	// Target is the latency within which an answer is worth most, in an open.
+	Target time.Duration
 	Reason Reason
 	Load   Load
 	// Packet is the packet of the flow; it is valid only during the call that passes it.
--- a/core/coord/steer/choose.go
+++ b/core/coord/steer/choose.go
@@ -26,18 +26,9 @@
 // place offers a new flow to the best target, or refuses it at once if none takes it.
 func (b *Balancer) place(now time.Time, route state.Route, seg state.Segment, p *place) {
 	service := route.Choose(seg.Flow)
-	if len(p.tried) >= maxTries {
-		b.refuse(seg, relay.ReasonFull, len(p.tried))
-		return
-	}
 	t, weighed := b.choose(now, service, seg.Flow, p.tried)
-	if t == nil && len(p.tried) == 0 && b.expects(now, service) {
-		delete(b.flows, seg.Flow)
-		b.wait(now, seg)
-		return
-	}
-	if t == nil {
-		b.refuse(seg, relay.ReasonNotReady, weighed)
+	if t == nil || len(p.tried) >= maxTries {
+		b.postpone(now, service, seg, p, weighed)
 		return
 	}
 	p.target = t
@@ -52,6 +43,16 @@
 	b.forward(relay.KindOpen, t, seg)
 }
 
+// postpone keeps a new flow that no target takes now for a moment, if one may take it soon, and refuses it otherwise.
+func (b *Balancer) postpone(now time.Time, service state.ServiceName, seg state.Segment, p *place, weighed int) {
+	if p.full || b.expects(now, service) {
+		delete(b.flows, seg.Flow)
+		b.wait(now, seg, p.waited)
+		return
+	}
+	b.refuse(seg, relay.ReasonNotReady, weighed)
+}
+
 // refuse resets a new flow: it has not opened, so nothing of it has run.
 func (b *Balancer) refuse(seg state.Segment, reason relay.Reason, count int) {
 	delete(b.flows, seg.Flow)
--- a/core/coord/steer/receive.go
+++ b/core/coord/steer/receive.go
@@ -73,7 +73,8 @@
 		return
 	}
 	if m.Reason == relay.ReasonFull {
-		p.target.sent += max(1, p.target.load.Slots)
+		p.target.avoidUntil = now.Add(fullPenalty)
+		p.full = true
 	} else {
 		p.target.load.Takes = false
 	}
--- a/core/coord/steer/search.go
+++ b/core/coord/steer/search.go
@@ -16,9 +16,15 @@
 	agentWait = 300 * time.Millisecond
 	// maxHeld is how many packets of one flow wait for the end of a search.
 	maxHeld = 4
-	// settleTime is how long a balancer must have run, and have heard of no new agent, before it takes its list of
-	// agents for complete.
-	settleTime = time.Second
+	// settleTime is how long a balancer must have heard of no new agent before it takes its list of agents for complete:
+	// machines that start together do so within 300 ms.
+	settleTime = 400 * time.Millisecond
+	// settleStart is the same since its own start; gossip needs a few rounds to bring the list.
+	settleStart = 700 * time.Millisecond
+	// doubtWait is the time between two looks whether a flow that all known agents denied can be given up.
+	doubtWait = 100 * time.Millisecond
+	// searchLimit bounds a search; the client's next copy starts another one.
+	searchLimit = 5 * time.Second
 )
 
 // search is the question who holds a flow.
@@ -72,31 +78,35 @@
 
 // askAgents asks every agent whose target may hold the flow, with the packet.
 func (b *Balancer) askAgents(now time.Time, s *search) {
-	seg := s.segment
 	s.owners = nil
-	if seg.Opens {
-		b.endSearch(seg.Flow)
+	if s.segment.Opens {
+		b.endSearch(s.segment.Flow)
 		b.placeSearched(now, s)
 		return
 	}
 	s.agents = true
+	if !b.askRest(now, s) {
+		b.conclude(now, s)
+	}
+}
+
+// askRest asks the agents that have not denied the flow yet, and reports whether there were any.
+func (b *Balancer) askRest(now time.Time, s *search) bool {
 	s.deadline = now.Add(agentWait)
-	for _, t := range b.holders(seg.Flow.Virtual) {
+	for _, t := range b.holders(s.segment.Flow.Virtual) {
 		if slices.Contains(s.denied, t) || t.lost(now) {
 			continue
 		}
 		s.asked = append(s.asked, t)
-		b.forward(relay.KindAsk, t, seg)
-	}
-	if len(s.asked) == 0 {
-		b.conclude(now, s)
+		b.forward(relay.KindAsk, t, s.segment)
 	}
+	return len(s.asked) > 0
 }
 
 // placeSearched offers a new flow whose place no owner knows.
 func (b *Balancer) placeSearched(now time.Time, s *search) {
 	if b.config.Version == 0 {
-		b.wait(now, s.segment)
+		b.wait(now, s.segment, s.since)
 		return
 	}
 	route, ok := b.config.Routes[s.segment.Flow.Virtual]
@@ -109,18 +119,19 @@
 
 func (b *Balancer) endSearch(flow state.FlowID) { delete(b.searches, flow) }
 
-// conclude ends a search in which all that were asked denied the flow. The client is told at once, unless there may
-// be agents that this balancer has not heard of.
+// conclude ends a search in which all that were asked denied the flow. The client is told at once, or as soon as this
+// balancer can be sure that there is no agent that it has not heard of.
 func (b *Balancer) conclude(now time.Time, s *search) {
-	b.endSearch(s.segment.Flow)
 	if b.config.Version == 0 || !b.settled(now) {
+		s.deadline = now.Add(doubtWait)
 		return
 	}
+	b.endSearch(s.segment.Flow)
 	b.reset(s.segment, relay.Decision{Age: now.Sub(s.since), Count: len(s.denied)})
 }
 
 func (b *Balancer) settled(now time.Time) bool {
-	return now.Sub(b.started) > settleTime && now.Sub(b.lastArrival) > settleTime
+	return now.Sub(b.started) > settleStart && now.Sub(b.lastArrival) > settleTime
 }
 
 // expireSearch goes on when answers stay out.
@@ -130,11 +141,12 @@
 		return
 	}
 	s.asked = slices.DeleteFunc(s.asked, func(t *target) bool { return t.lost(now) })
-	if len(s.asked) == 0 {
+	switch {
+	case len(s.asked) > 0 || now.Sub(s.since) > searchLimit:
+		b.endSearch(flow)
+	case !b.askRest(now, s):
 		b.conclude(now, s)
-		return
 	}
-	b.endSearch(flow)
 }
 
 // found ends a search: the packets that waited go to the holder. One that came with an ask was delivered.
--- a/core/coord/steer/steer.go
+++ b/core/coord/steer/steer.go
@@ -62,6 +62,10 @@
 	since  time.Time
 	// confirmed is true once the agent said that its target holds the flow.
 	confirmed bool
+	// waited is when the flow began to wait for a target; zero if it did not.
+	waited time.Time
+	// full is true if a target that did not take the flow was full.
+	full bool
 	// tried are the targets that did not take the flow.
 	tried []*target
 }
@@ -130,7 +134,7 @@
 	case p != nil:
 		b.forward(relay.KindData, p.target, seg)
 	case seg.Opens && b.config.Version == 0:
-		b.wait(now, seg)
+		b.wait(now, seg, now)
 	case seg.Opens && seg.Acknowledged == 0:
 		b.place(now, route, seg, &place{since: now})
 	default:
@@ -174,10 +178,19 @@
 		Flow:    seg.Flow,
 		Service: t.service.ID(),
 		Config:  b.config.Version,
+		Target:  b.objective(kind, seg),
 		Packet:  seg.Packet,
 	})
 }
 
+// objective returns the latency objective of a new flow.
+func (b *Balancer) objective(kind relay.Kind, seg state.Segment) time.Duration {
+	if kind != relay.KindOpen {
+		return 0
+	}
+	return b.config.Routes[seg.Flow.Virtual].Target
+}
+
 // Tick lets time pass. It is called every TickPeriod.
 func (b *Balancer) Tick(now time.Time) {
 	for id, s := range b.searches {
--- a/core/coord/steer/steer_test.go
+++ b/core/coord/steer/steer_test.go
@@ -97,7 +97,7 @@
 	for end := w.now.Add(d); w.now.Before(end); {
 		w.now = w.now.Add(steer.TickPeriod)
 		for _, n := range agents {
-			w.report(n, relay.Load{Takes: true, Slots: 4, Period: 200 * time.Millisecond})
+			w.report(n, relay.Load{Takes: true, Room: 40, Slots: 4, Period: 200 * time.Millisecond})
 		}
 		w.b.Tick(w.now)
 	}
@@ -279,12 +279,33 @@
 	w := newWorld(t)
 	w.b.Configure(config(1, service))
 	w.members(1)
-	w.report(1, relay.Load{Takes: true, Period: time.Second})
+	w.report(1, relay.Load{Takes: true, Room: 40, Period: time.Second})
 	w.b.Packet(w.now, data(flow(1)))
 	w.notHeld(agent(1), flow(1), noPacket)
 	w.is.Equal(len(w.resets), 0)
 }
 
+// Pattern: all machines lost power. A flow that every known agent denied is given up as soon as no further agent can be
+// expected, without waiting for the client's next copy.
+func TestDeniedFlowIsResetOnceTheAgentsAreKnown(t *testing.T) {
+	w := newWorld(t)
+	w.b.Configure(config(1, service))
+	w.members(1)
+	w.report(1, relay.Load{Takes: true, Room: 40, Period: time.Second})
+	w.b.Packet(w.now, data(flow(1)))
+	w.notHeld(agent(1), flow(1), noPacket)
+	w.pass(300*time.Millisecond, 1)
+	w.is.Equal(len(w.resets), 0)
+	w.members(1, 2) // another one has appeared, and is asked
+	w.pass(300*time.Millisecond, 1, 2)
+	asked, _ := w.last(relay.KindAsk)
+	w.is.Equal(asked.to, agent(2))
+	w.notHeld(agent(2), flow(1), noPacket)
+	w.is.Equal(len(w.resets), 0)
+	w.pass(500*time.Millisecond, 1, 2)
+	w.is.Equal(w.resets, []state.FlowID{flow(1)})
+}
+
 func TestFlowsOfADeadAgentAreReset(t *testing.T) {
 	w := newWorld(t)
 	w.settled(1, 2)
@@ -364,8 +385,8 @@
 func TestFasterAndIdlerTargetsGetMore(t *testing.T) {
 	w := newWorld(t)
 	w.settled(1, 2)
-	w.report(1, relay.Load{Takes: true, Slots: 4, ServiceTime: 80 * time.Millisecond, Period: time.Second})
-	w.report(2, relay.Load{Takes: true, Slots: 4, ServiceTime: 30 * time.Millisecond, Period: time.Second})
+	w.report(1, relay.Load{Takes: true, Room: 40, Slots: 4, ServiceTime: 80 * time.Millisecond, Period: time.Second})
+	w.report(2, relay.Load{Takes: true, Room: 40, Slots: 4, ServiceTime: 30 * time.Millisecond, Period: time.Second})
 	counts := map[netip.AddrPort]int{}
 	for n := range uint16(22) {
 		w.b.Packet(w.now, opens(flow(n), 0))
@@ -375,6 +396,34 @@
 	w.is.Equal(counts[agent(2)], 16) // 80:30 of 22
 }
 
+// Pattern: more new flows than the targets can take. Those that can still be answered in time go first, and each is
+// either offered or refused within the time that its client waits.
+func TestOverloadKeepsNewFlowsInTime(t *testing.T) {
+	w := newWorld(t)
+	c := config(1, service)
+	route := c.Routes[virtual]
+	route.Target = 250 * time.Millisecond
+	c.Routes[virtual] = route
+	w.b.Configure(c)
+	w.members(1)
+	w.report(1, relay.Load{Takes: true, Room: 0, Slots: 4, Period: time.Second})
+	w.b.Packet(w.now, opens(flow(1), 0))
+	w.b.Packet(w.now, opens(flow(2), 0))
+	w.now = w.now.Add(400 * time.Millisecond)
+	w.b.Packet(w.now, opens(flow(3), 0))
+	w.is.Equal(w.count(relay.KindOpen), 0)
+	w.is.Equal(len(w.resets), 0)
+	w.report(1, relay.Load{Takes: true, Room: 1, Slots: 4, Period: time.Second})
+	w.b.Tick(w.now)
+	offered, _ := w.last(relay.KindOpen)
+	w.is.Equal(offered.Flow, flow(3)) // the others are late already
+	w.is.Equal(w.count(relay.KindOpen), 1)
+	w.now = w.now.Add(700 * time.Millisecond)
+	w.report(1, relay.Load{Takes: true, Room: 0, Slots: 4, Period: time.Second})
+	w.b.Tick(w.now)
+	w.is.Equal(len(w.resets), 2)
+}
+
 func TestSilentOrLeavingTargetsGetNothing(t *testing.T) {
 	w := newWorld(t)
 	w.settled(1, 2, 3)
--- a/core/coord/steer/target.go
+++ b/core/coord/steer/target.go
@@ -23,6 +23,8 @@
 	plannedAbsence = 8 * time.Second
 	// quietPenalty is how long a target is passed over that left an opening packet unanswered.
 	quietPenalty = time.Second
+	// fullPenalty is how long a full target is passed over: about the time in which it ends a few requests.
+	fullPenalty = 50 * time.Millisecond
 )
 
 // target is an agent and its target, as this balancer knows them.
@@ -64,7 +66,12 @@
 
 // takes reports whether the target may be given new flows.
 func (t *target) takes(now time.Time) bool {
-	if !t.member || t.health == state.HealthDead || t.health == state.HealthLeft || now.Before(t.avoidUntil) {
+	return t.serves(now) && !now.Before(t.avoidUntil) && (t.heardAt.IsZero() || t.load.Room > t.sent)
+}
+
+// serves reports whether the target takes flows, if not at this moment.
+func (t *target) serves(now time.Time) bool {
+	if !t.member || t.health == state.HealthDead || t.health == state.HealthLeft {
 		return false
 	}
 	if t.heardAt.IsZero() {
--- a/core/coord/steer/waiting.go
+++ b/core/coord/steer/waiting.go
@@ -1,6 +1,8 @@
 package steer
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"monsoonstep/core/coord/relay"
@@ -24,8 +26,9 @@
 	since   time.Time
 }
 
-// wait keeps a new flow for a moment, or refuses it if too many wait.
-func (b *Balancer) wait(now time.Time, seg state.Segment) {
+// wait keeps a new flow for a moment, or refuses it if too many wait. A flow that waited before, and was then offered
+// in vain, goes on waiting from the time since.
+func (b *Balancer) wait(now time.Time, seg state.Segment, since time.Time) {
 	if _, known := b.waiting[seg.Flow]; known {
 		return
 	}
@@ -34,40 +37,74 @@
 		return
 	}
 	seg.Packet = append([]byte(nil), seg.Packet...)
-	b.waiting[seg.Flow] = &opening{segment: seg, since: now}
+	if since.IsZero() {
+		since = now
+	}
+	b.waiting[seg.Flow] = &opening{segment: seg, since: since}
 }
 
-// expects reports whether a target of a service may appear within moments: this balancer has just started, or an agent
-// of the service runs and has not heard from its target yet.
+// expects reports whether a target of a service may take flows within moments: this balancer has just started and
+// has heard of none, a target is full just now, or an agent of the service runs and has not heard from its target yet.
 func (b *Balancer) expects(now time.Time, service state.ServiceName) bool {
-	if now.Sub(b.started) < startTime {
-		return true
-	}
+	heard := false
 	for _, t := range b.targets {
-		if t.service == service && t.isStarting(now) {
+		if t.service != service {
+			continue
+		}
+		if t.serves(now) || t.isStarting(now) {
 			return true
 		}
+		heard = heard || !t.heardAt.IsZero()
 	}
-	return false
+	return !heard && now.Sub(b.started) < startTime
 }
 
 // serveWaiting places the flows that waited once there is a target, and refuses those that waited too long.
 func (b *Balancer) serveWaiting(now time.Time) {
-	for id, o := range b.waiting {
+	for _, o := range b.inOrder(now) {
+		id := o.segment.Flow
 		route, ok := b.config.Routes[id.Virtual]
 		switch {
 		case b.config.Version != 0 && !ok:
 			b.refuseRoute(o.segment)
 		case ok && b.canServe(now, route, id):
 			delete(b.waiting, id)
-			b.place(now, route, o.segment, &place{since: now})
+			b.place(now, route, o.segment, &place{since: now, waited: o.since})
 		case now.Sub(o.since) >= waitLimit:
 			delete(b.waiting, id)
-			b.refuse(o.segment, relay.ReasonNotReady, 0)
+			b.refuse(o.segment, relay.ReasonNotReady, len(b.waiting))
 		}
 	}
 }
 
+// inOrder returns the flows that wait in the order in which they are served: those that can still be answered within their
+// latency objective before those that can't, so that a backlog does not make all later flows late too; then the
+// most urgent, then the oldest.
+func (b *Balancer) inOrder(now time.Time) []*opening {
+	list := make([]*opening, 0, len(b.waiting))
+	for _, o := range b.waiting {
+		list = append(list, o)
+	}
+	slices.SortFunc(list, func(x, y *opening) int {
+		return cmp.Or(
+			b.lateness(now, x)-b.lateness(now, y),
+			b.route(x).Priority-b.route(y).Priority,
+			x.since.Compare(y.since),
+		)
+	})
+	return list
+}
+
+func (b *Balancer) route(o *opening) state.Route { return b.config.Routes[o.segment.Flow.Virtual] }
+
+// lateness is 1 for a flow that has waited for longer than its latency objective, and 0 otherwise.
+func (b *Balancer) lateness(now time.Time, o *opening) int {
+	if now.Sub(o.since) > b.route(o).Target {
+		return 1
+	}
+	return 0
+}
+
 func (b *Balancer) canServe(now time.Time, route state.Route, id state.FlowID) bool {
 	t, _ := b.choose(now, route.Choose(id), id, nil)
 	return t != nil
--- a/core/proto/hops/hops_test.go
+++ b/core/proto/hops/hops_test.go
@@ -30,6 +30,7 @@
 		Config:  state.ConfigVersion(rapid.Uint64().Draw(t, "config")),
 		Holder:  drawAddress(t, "holder"),
 		Reason:  relay.Reason(rapid.IntRange(0, 5).Draw(t, "reason")),
+		Target:  time.Duration(rapid.IntRange(0, 1e4).Draw(t, "target")) * time.Millisecond,
 		Packet:  rapid.SliceOfN(rapid.Byte(), 1, 1300).Draw(t, "packet"),
 	}
 	if m.Kind == relay.KindLoad {
@@ -37,6 +38,7 @@
 			Takes:       rapid.Bool().Draw(t, "takes"),
 			Busy:        rapid.IntRange(0, 1000).Draw(t, "busy"),
 			MeanBusy:    float64(rapid.IntRange(0, 1000).Draw(t, "mean")) / 4,
+			Room:        rapid.IntRange(0, 100).Draw(t, "room"),
 			Flows:       rapid.IntRange(0, 5000).Draw(t, "flows"),
 			Slots:       rapid.IntRange(0, 100).Draw(t, "slots"),
 			ServiceTime: time.Duration(rapid.IntRange(0, 1e6).Draw(t, "time")) * time.Microsecond,
--- a/core/proto/hops/relay.go
+++ b/core/proto/hops/relay.go
@@ -20,6 +20,7 @@
 	relayReason
 	relayLoad
 	relayPacket
+	relayTargetMillis
 )
 
 // The field numbers of a load.
@@ -33,6 +34,7 @@
 	loadWarmupMillis
 	loadPeriodMillis
 	loadMeanBusyHundredths
+	loadRoom
 )
 
 const hundredths = 100
@@ -48,6 +50,7 @@
 	b = appendNumber(b, relayConfig, uint64(m.Config))
 	b = appendAddress(b, relayHolder, m.Holder)
 	b = appendNumber(b, relayReason, uint64(m.Reason))
+	b = appendNumber(b, relayTargetMillis, uint64(max(0, m.Target.Milliseconds())))
 	if m.Kind == relay.KindLoad {
 		b = appendBytes(b, relayLoad, appendLoad(nil, m.Load))
 	}
@@ -63,7 +66,8 @@
 	b = appendNumber(b, loadServiceMicros, uint64(max(0, l.ServiceTime.Microseconds())))
 	b = appendNumber(b, loadWarmupMillis, uint64(max(0, l.Warmup.Milliseconds())))
 	b = appendNumber(b, loadPeriodMillis, uint64(max(0, l.Period.Milliseconds())))
-	return appendNumber(b, loadMeanBusyHundredths, uint64(max(0, l.MeanBusy*hundredths)))
+	b = appendNumber(b, loadMeanBusyHundredths, uint64(max(0, l.MeanBusy*hundredths)))
+	return appendNumber(b, loadRoom, uint64(max(0, l.Room)))
 }
 
 // DecodeRelay decodes a datagram of SortRelay. The packet shares memory with b.
@@ -104,6 +108,8 @@
 		err = eachField(f.bytes, func(l field) error { setLoad(&m.Load, l); return nil })
 	case relayPacket:
 		m.Packet = f.bytes
+	case relayTargetMillis:
+		m.Target = duration(f.value, time.Millisecond)
 	}
 	return err
 }
@@ -142,6 +148,8 @@
 		l.Warmup = duration(f.value, time.Millisecond)
 	case loadPeriodMillis:
 		l.Period = duration(f.value, time.Millisecond)
+	case loadRoom:
+		l.Room = count
 	case loadMeanBusyHundredths:
 		l.MeanBusy = float64(count) / hundredths
 	}
--- a/io/relay/fleet.go
+++ b/io/relay/fleet.go
@@ -17,7 +17,7 @@
 	// times what an ordinary second does.
 	gossipBytes = 24 << 10
 	// joinPeriod is the time between two calls to the seeds while nobody answers.
-	joinPeriod = 250 * time.Millisecond
+	joinPeriod = 100 * time.Millisecond
 	// rejoinPeriod is the time between two calls to the seeds otherwise, so that halves of a fleet find each other.
 	rejoinPeriod = 5 * time.Second
 	// configKey is the key of the record that tells the newest configuration and who has it.
