relay: a list of balancers in the store, so that a start does not hang on the seeds

Ruled out: gossip's own rounds (0.1 s). Change: one key, written by the first balancer in rank when the balancers changed and stayed so for 2 s, read stale at each start and while alone.

--- a/core/coord/steer/steer.go
+++ b/core/coord/steer/steer.go
@@ -125,6 +125,9 @@
 		s.hold(seg.Packet)
 		return
 	}
+	if _, waits := b.waiting[seg.Flow]; waits && seg.Opens {
+		return
+	}
 	p := b.flows[seg.Flow]
 	switch {
 	case p != nil && p.target.lost(now):
--- a/io/relay/agent.go
+++ b/io/relay/agent.go
@@ -33,8 +33,8 @@
 }
 
 // NewAgent starts an agent in a group.
-func NewAgent(g *group.Group, s AgentSettings, codec Codec, log logs.Logger, set *metrics.Set) (*Agent, error) {
-	n, err := newNode(g, s.Settings, codec, log, set, state.RoleAgent, s.Service)
+func NewAgent(g *group.Group, s AgentSettings, codec Codec, directory Directory, log logs.Logger, set *metrics.Set) (*Agent, error) {
+	n, err := newNode(g, s.Settings, codec, directory, log, set, state.Announcement{Role: state.RoleAgent, Service: s.Service})
 	if err != nil {
 		return nil, err
 	}
--- a/io/relay/balancer.go
+++ b/io/relay/balancer.go
@@ -37,8 +37,10 @@
 }
 
 // NewBalancer starts a balancer in a group.
-func NewBalancer(g *group.Group, s BalancerSettings, codec Codec, source ConfigSource, log logs.Logger, set *metrics.Set) (*Balancer, error) {
-	n, err := newNode(g, s.Settings, codec, log, set, state.RoleBalancer, "")
+func NewBalancer(g *group.Group, s BalancerSettings, codec Codec, source ConfigSource, directory Directory,
+	log logs.Logger, set *metrics.Set,
+) (*Balancer, error) {
+	n, err := newNode(g, s.Settings, codec, directory, log, set, state.Announcement{Role: state.RoleBalancer})
 	if err != nil {
 		return nil, err
 	}
@@ -58,6 +60,7 @@
 	n.onMembers = b.members
 	n.start()
 	n.receive("client receiver", clients, fromClients)
+	g.Go("list writer", n.joiner.publish)
 	b.config.start()
 	return b, nil
 }
--- a/io/relay/fleet.go
+++ b/io/relay/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"monsoonstep/core/coord/gossip"
@@ -20,6 +21,8 @@
 	joinPeriod = 100 * time.Millisecond
 	// rejoinPeriod is the time between two calls to the seeds otherwise, so that halves of a fleet find each other.
 	rejoinPeriod = 5 * time.Second
+	// maxSeeds bounds the addresses that are called.
+	maxSeeds = 64
 	// configKey is the key of the record that tells the newest configuration and who has it.
 	configKey state.Key = "config"
 )
@@ -37,22 +40,15 @@
 	left  bool
 }
 
-func newFleet(s Settings, role state.Role, service state.ServiceName, log logs.Logger) *fleet {
+func newFleet(s Settings, self state.Announcement, log logs.Logger) *fleet {
 	started := time.Now()
-	self := state.Member{
-		ID: state.NewInstanceID(s.Instance, state.Millis(started.UnixMilli())),
-		Announcement: state.Announcement{
-			Role:       role,
-			Service:    service,
-			DataCentre: s.DataCentre,
-			Region:     s.Region,
-			Gossip:     s.Internal,
-			Flow:       s.Internal,
-			Peer:       s.Internal,
-			Phase:      state.PhaseStarting,
-		},
-	}
-	machine := gossip.New(self, state.NewBook(), uint64(started.UnixNano()),
+	self.DataCentre = s.DataCentre
+	self.Region = s.Region
+	self.Gossip = s.Internal
+	self.Flow = s.Internal
+	self.Peer = s.Internal
+	row := state.Member{ID: state.NewInstanceID(s.Instance, state.Millis(started.UnixMilli())), Announcement: self}
+	machine := gossip.New(row, state.NewBook(), uint64(started.UnixNano()),
 		gossip.WithProbePeriod(probePeriod), gossip.WithSuspicion(suspicion), gossip.WithBytesPerSecond(gossipBytes))
 	return &fleet{machine: machine, seeds: s.Seeds, log: log, alone: true}
 }
@@ -94,9 +90,13 @@
 	return f.machine.Members(), true
 }
 
-// addSeeds adds addresses to call.
+// addSeeds adds addresses to call, at the next tick.
 func (f *fleet) addSeeds(seeds []netip.AddrPort) {
-	f.seeds = append(f.seeds, seeds...)
+	for _, seed := range seeds {
+		if !slices.Contains(f.seeds, seed) && len(f.seeds) < maxSeeds {
+			f.seeds = append(f.seeds, seed)
+		}
+	}
 	f.nextJoin = time.Time{}
 }
 
--- /dev/null
+++ b/io/relay/join.go
@@ -0,0 +1,192 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"monsoonstep/core/coord/rank"
+	"monsoonstep/core/coord/relay"
+	"monsoonstep/core/errs"
+	"monsoonstep/core/state"
+	"monsoonstep/io/group"
+	"monsoonstep/io/logs"
+)
+
+// Directory is a list of balancers in the store, where processes that know nobody find others. Settings name a few
+// seeds only, and those may be gone or start later.
+type Directory struct {
+	// Read returns the list as it is stored, and its revision. An error of kind NotFound means that there is none.
+	Read func(ctx context.Context) ([]byte, state.Revision, error)
+	// Write replaces the list if it still has a revision; zero means that there is none.
+	Write func(ctx context.Context, list []byte, expected state.Revision) error
+}
+
+const (
+	// listTimeout is the time of one call for the list.
+	listTimeout = time.Second
+	// aloneWait is how long a process that read the list goes on alone before it reads it again.
+	aloneWait = time.Second
+	// steadyTime is how long the balancers must be the same before their list is written.
+	steadyTime = 2 * time.Second
+	// listKey ranks balancers for writing the list.
+	listKey = 0x6a6f696e
+	// maxListed bounds the list: a newcomer needs a few that live.
+	maxListed = 32
+)
+
+// joiner finds other nodes by the list in the store, and keeps the list.
+type joiner struct {
+	n         *node
+	directory Directory
+	log       logs.Logger
+
+	mu sync.Mutex
+	// balancers are those that are thought to run, in order; changedAt is when they last changed.
+	balancers []netip.AddrPort
+	changedAt time.Time
+	alone     bool
+}
+
+func newJoiner(n *node, d Directory) *joiner {
+	return &joiner{n: n, directory: d, log: n.log.Part("fleet"), alone: true}
+}
+
+// update takes in the balancers that are thought to run.
+func (j *joiner) update(now time.Time, balancers []netip.AddrPort, alone bool) {
+	slices.SortFunc(balancers, netip.AddrPort.Compare)
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.alone = alone
+	if !slices.Equal(j.balancers, balancers) {
+		j.balancers = slices.Clone(balancers)
+		j.changedAt = now
+	}
+}
+
+func (j *joiner) isAlone() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.alone
+}
+
+// find is the duty that reads the list at the start, and again while no other node is known.
+func (j *joiner) find(ctx context.Context) error {
+	pauses := backoff.NewExponentialBackOff()
+	pauses.InitialInterval = retryLeast
+	pauses.MaxInterval = retryMost
+	for ctx.Err() == nil {
+		if _, err := j.read(ctx); err != nil && errs.KindOf(err) != errs.NotFound {
+			j.log.Warn("the list of balancers could not be read", "error", errs.Text(err))
+			group.Sleep(ctx, pauses.NextBackOff())
+		} else {
+			group.Sleep(ctx, aloneWait)
+		}
+		for ctx.Err() == nil && !j.isAlone() {
+			group.Sleep(ctx, aloneWait)
+		}
+	}
+	return nil
+}
+
+// read reads the list and calls those on it.
+func (j *joiner) read(ctx context.Context) (state.Revision, error) {
+	limited, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	raw, revision, err := j.directory.Read(limited)
+	if err != nil {
+		return 0, err
+	}
+	listed, err := decodeList(raw)
+	if err != nil {
+		j.log.Warn("the list of balancers is not readable", "error", errs.Text(err))
+		return revision, nil
+	}
+	return revision, j.n.call(ctx, func(time.Time) { j.n.fleet.addSeeds(listed) })
+}
+
+// publish is the duty that writes the list when it has changed. One balancer does so: the first in rank.
+func (j *joiner) publish(ctx context.Context) error {
+	var written []byte
+	for group.Sleep(ctx, steadyTime/2) {
+		list := j.due()
+		if list == nil || slices.Equal(list, written) {
+			continue
+		}
+		if err := j.write(ctx, list); err != nil {
+			j.log.Warn("the list of balancers could not be written", "error", errs.Text(err))
+			group.Sleep(ctx, retryMost)
+			continue
+		}
+		written = list
+	}
+	return nil
+}
+
+// due returns the list to be written, or nil if it is another balancer's duty or the list still changes.
+func (j *joiner) due() []byte {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if len(j.balancers) == 0 || time.Since(j.changedAt) < steadyTime {
+		return nil
+	}
+	hashes := make([]uint64, 0, len(j.balancers))
+	for _, b := range j.balancers {
+		hashes = append(hashes, relay.NodeHash(b))
+	}
+	if j.balancers[rank.Top(listKey, hashes, 1)[0]] != j.n.settings.Internal {
+		return nil
+	}
+	return encodeList(j.balancers[:min(maxListed, len(j.balancers))])
+}
+
+func (j *joiner) write(ctx context.Context, list []byte) error {
+	limited, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	stored, revision, err := j.directory.Read(limited)
+	if err != nil && errs.KindOf(err) != errs.NotFound {
+		return err
+	}
+	if slices.Equal(stored, list) {
+		return nil
+	}
+	return j.directory.Write(limited, list, revision)
+}
+
+// listDocument is the list as it is stored.
+type listDocument struct {
+	Balancers []string `json:"balancers"`
+}
+
+func encodeList(balancers []netip.AddrPort) []byte {
+	var d listDocument
+	for _, b := range balancers {
+		d.Balancers = append(d.Balancers, b.String())
+	}
+	raw, err := json.Marshal(d)
+	if err != nil {
+		return nil
+	}
+	return raw
+}
+
+func decodeList(raw []byte) ([]netip.AddrPort, error) {
+	var d listDocument
+	if err := json.Unmarshal(raw, &d); err != nil {
+		return nil, errs.Wrap(err, errs.BadInput, "list of balancers")
+	}
+	var list []netip.AddrPort
+	for _, text := range d.Balancers {
+		address, err := netip.ParseAddrPort(text)
+		if err != nil {
+			return nil, errs.Wrap(err, errs.BadInput, "address %q", text)
+		}
+		list = append(list, address)
+	}
+	return list, nil
+}
--- a/io/relay/node.go
+++ b/io/relay/node.go
@@ -59,6 +59,7 @@
 	metrics  *metrics.Set
 	notes    *notes
 	fleet    *fleet
+	joiner   *joiner
 	internal *net.UDPConn
 	ring     chan datagram
 	free     chan []byte
@@ -81,7 +82,9 @@
 	onMembers func(now time.Time, members []state.Member)
 }
 
-func newNode(g *group.Group, s Settings, codec Codec, log logs.Logger, set *metrics.Set, role state.Role, service state.ServiceName) (*node, error) {
+func newNode(g *group.Group, s Settings, codec Codec, directory Directory, log logs.Logger, set *metrics.Set,
+	self state.Announcement,
+) (*node, error) {
 	conn, err := listen(s.Internal, "internal")
 	if err != nil {
 		return nil, err
@@ -101,7 +104,8 @@
 		unsent:     set.NewCounter("monsoonstep_datagrams_unsent_total"),
 	}
 	n.notes = newNotes(log.Part("flows"), set)
-	n.fleet = newFleet(s, role, service, log.Part("fleet"))
+	n.fleet = newFleet(s, self, log.Part("fleet"))
+	n.joiner = newJoiner(n, directory)
 	return n, nil
 }
 
@@ -117,6 +121,7 @@
 func (n *node) start() {
 	n.receive("internal receiver", n.internal, fromNodes)
 	n.group.Go("state", n.own)
+	n.group.Go("joiner", n.joiner.find)
 }
 
 // receive starts the duty that reads a socket.
@@ -200,6 +205,7 @@
 
 func (n *node) updateMembers(now time.Time) {
 	if members, changed := n.fleet.changed(); changed {
+		n.joiner.update(now, balancers(members), n.fleet.alone)
 		n.onMembers(now, members)
 	}
 }
--- a/io/relay/settings.go
+++ b/io/relay/settings.go
@@ -39,14 +39,6 @@
 	Decode func(stored []byte) (state.Config, error)
 }
 
-// Directory is a list of addresses in the store where processes that know nobody find others.
-type Directory struct {
-	// Publish lists an address for some time.
-	Publish func(ctx context.Context, name state.InstanceName, address netip.AddrPort, lasting time.Duration) error
-	// List returns the addresses that are listed.
-	List func(ctx context.Context) ([]netip.AddrPort, error)
-}
-
 // Settings are what balancers and agents have in common.
 type Settings struct {
 	Instance   state.InstanceName
