--- a/core/coord/gate/gate.go
+++ b/core/coord/gate/gate.go
@@ -140,6 +140,7 @@
 // New returns a gate of an agent that starts now.
 func New(now time.Time, settings Settings, do Actions) *Gate {
 	return &Gate{
+		target:      target{heard: now},
 		settings:    settings,
 		do:          do,
 		flows:       make(map[state.FlowID]*flow),
--- a/core/coord/gate/target.go
+++ b/core/coord/gate/target.go
@@ -191,10 +191,10 @@
 	}
 }
 
-// watchTarget finds out that a target has fallen silent.
+// watchTarget finds out that a target has fallen silent, or has not appeared since the agent's start.
 func (g *Gate) watchTarget(now time.Time) {
 	t := &g.target
-	if !t.known || t.gone {
+	if t.gone {
 		return
 	}
 	limit := time.Duration(missedHeartbeats * float64(g.settings.HeartbeatPeriod))
@@ -211,7 +211,9 @@
 	switch {
 	case g.stopping:
 		return relay.ReasonStopping
-	case !g.target.known || g.target.gone:
+	case g.target.gone:
+		return relay.ReasonGone
+	case !g.target.known:
 		return relay.ReasonNotReady
 	case g.target.draining:
 		return relay.ReasonDraining
--- a/core/coord/gossip/config.go
+++ b/core/coord/gossip/config.go
@@ -22,6 +22,12 @@
 	suspicionLogDivisor = 4
 	transmitFactor      = 1
 	deadSyncShare       = 4
+	// toldCount is how many of the last messages are asked how many agents there are; toldLeast is the least.
+	toldCount = 8
+	toldLeast = 3
+	// toldShare of toldOf of them must not know more than this node.
+	toldShare = 3
+	toldOf    = 4
 	// absenceGap is in milliseconds; it is longer than an idempotency key is kept.
 	absenceGap = 20 * 60 * 1000
 )
--- a/core/coord/gossip/machine.go
+++ b/core/coord/gossip/machine.go
@@ -50,6 +50,13 @@
 	lastTick   time.Time
 	budget     bucket
 	stats      Stats
+
+	// told holds the numbers of agents that others told of last, newest at toldNext-1.
+	told     [toldCount]int
+	toldNext int
+	// agents is the number of agents present when version was agentsVersion.
+	agents        int
+	agentsVersion uint64
 }
 
 // Stats counts what the machine did; it only grows.
@@ -210,6 +217,16 @@
 	return out
 }
 
+// Sync returns a message that compares digests with a random member now, besides the regular ones. It is for a node
+// that knows itself to be incomplete.
+func (m *Machine) Sync() []Send {
+	r := m.randomPresent()
+	if r == nil || m.budget.tokens <= 0 {
+		return nil
+	}
+	return []Send{m.prepare(r.Gossip, Message{Kind: KindDigest, To: r.ID, Digest: m.currentDigest()})}
+}
+
 // Tick advances the machine to now and returns what is to be sent. It is called a few times in each
 // spread period.
 func (m *Machine) Tick(now time.Time) []Send {
@@ -229,6 +246,7 @@
 		return nil
 	}
 	m.mergeMembers(now, msg.Members)
+	m.noteAgents(msg.Agents)
 	for _, r := range msg.Records {
 		m.Learn(r)
 	}
@@ -249,6 +267,48 @@
 	}
 }
 
+// noteAgents remembers how many agents others told of last.
+func (m *Machine) noteAgents(agents int) {
+	m.told[m.toldNext%toldCount] = agents
+	m.toldNext++
+}
+
+// Complete reports whether this node knows at least as many agents as most others told of last. A node that has just joined
+// does not until it has been sent all of them. The few that have not heard yet of an agent's end do not count.
+func (m *Machine) Complete() bool {
+	heard := min(m.toldNext, toldCount)
+	if heard < toldLeast {
+		return false
+	}
+	covered := 0
+	for _, told := range m.told[:heard] {
+		if m.countAgents() >= told {
+			covered++
+		}
+	}
+	return covered*toldOf >= heard*toldShare
+}
+
+// countAgents counts the agents that are present. Two processes at one address are one agent that was started again and
+// a former one that is not yet known to be gone.
+func (m *Machine) countAgents() int {
+	if m.agentsVersion == m.version && m.version != 0 {
+		return m.agents
+	}
+	addresses := make(map[netip.AddrPort]struct{}, len(m.present))
+	if m.self.Role == state.RoleAgent {
+		addresses[m.self.Gossip] = struct{}{}
+	}
+	for _, r := range m.present {
+		if r.Role == state.RoleAgent {
+			addresses[r.Gossip] = struct{}{}
+		}
+	}
+	m.agents = len(addresses)
+	m.agentsVersion = m.version
+	return m.agents
+}
+
 func (m *Machine) updateSelf(change func(*state.Member)) {
 	bucket := memberBucket(m.self.ID)
 	m.digest[bucket] ^= memberHash(m.self)
@@ -312,6 +372,7 @@
 // of deaths or joins uses the budget.
 func (m *Machine) prepare(to netip.AddrPort, msg Message) Send {
 	msg.From = m.self.ID
+	msg.Agents = m.countAgents()
 	m.addRumours(&msg, m.budget.tokens <= 0)
 	m.budget.tokens -= float64(msg.size())
 	return Send{To: to, Message: msg}
--- a/core/coord/relay/message.go
+++ b/core/coord/relay/message.go
@@ -51,8 +51,10 @@
 	ReasonNone Reason = iota
 	// ReasonDraining means that the target is leaving.
 	ReasonDraining
-	// ReasonNotReady means that the agent has not heard from its target, or that the target has gone.
+	// ReasonNotReady means that the agent has not heard from its target yet.
 	ReasonNotReady
+	// ReasonGone means that the target has ended or never appeared: it holds no flows.
+	ReasonGone
 	// ReasonFull means that the target did not take the flow.
 	ReasonFull
 	// ReasonMisdirected means that the agent serves another service.
@@ -64,7 +66,7 @@
 
 // String returns the reason's name in logs.
 func (r Reason) String() string {
-	names := [reasonCount]string{"none", "draining", "notReady", "full", "misdirected", "stopping"}
+	names := [reasonCount]string{"none", "draining", "notReady", "gone", "full", "misdirected", "stopping"}
 	return names[min(r, reasonCount-1)]
 }
 
--- a/core/coord/steer/search.go
+++ b/core/coord/steer/search.go
@@ -131,7 +131,7 @@
 }
 
 func (b *Balancer) settled(now time.Time) bool {
-	return now.Sub(b.started) > settleStart && now.Sub(b.lastArrival) > settleTime
+	return b.complete && now.Sub(b.started) > settleStart && now.Sub(b.lastArrival) > settleTime
 }
 
 // expireSearch goes on when answers stay out.
--- a/core/coord/steer/steer.go
+++ b/core/coord/steer/steer.go
@@ -51,6 +51,8 @@
 	waiting map[state.FlowID]*opening
 	owners  relay.Owners
 	started time.Time
+	// complete is true while the membership knows as many members as others do.
+	complete bool
 	// lastArrival is when an agent was last heard of for the first time.
 	lastArrival time.Time
 	nextSweep   time.Time
@@ -113,6 +115,9 @@
 // SetBalancers replaces the list of balancers, this one included.
 func (b *Balancer) SetBalancers(list []netip.AddrPort) { b.owners = relay.NewOwners(list) }
 
+// SetComplete tells whether the membership knows as many members as others do. While it does not, nothing is given up.
+func (b *Balancer) SetComplete(complete bool) { b.complete = complete }
+
 // Packet handles a packet of a client. Open flows are carried also before the first configuration: it decides only
 // where new flows go.
 func (b *Balancer) Packet(now time.Time, seg state.Segment) {
@@ -128,14 +133,11 @@
 	if _, waits := b.waiting[seg.Flow]; waits && seg.Opens {
 		return
 	}
-	p := b.flows[seg.Flow]
+	if p := b.flows[seg.Flow]; p != nil {
+		b.known(now, route, seg, p)
+		return
+	}
 	switch {
-	case p != nil && p.target.lost(now):
-		b.drop(now, seg, p)
-	case p != nil && seg.Opens:
-		b.repeat(now, route, seg, p)
-	case p != nil:
-		b.forward(relay.KindData, p.target, seg)
 	case seg.Opens && b.config.Version == 0:
 		b.wait(now, seg, now)
 	case seg.Opens && seg.Acknowledged == 0:
@@ -145,6 +147,18 @@
 	}
 }
 
+// known handles a packet of a flow whose place is known.
+func (b *Balancer) known(now time.Time, route state.Route, seg state.Segment, p *place) {
+	switch {
+	case p.target.lost(now):
+		b.drop(now, seg, p)
+	case seg.Opens:
+		b.repeat(now, route, seg, p)
+	default:
+		b.forward(relay.KindData, p.target, seg)
+	}
+}
+
 // refuseRoute resets a flow to an address without a route.
 func (b *Balancer) refuseRoute(seg state.Segment) {
 	delete(b.flows, seg.Flow)
--- a/core/coord/steer/steer_test.go
+++ b/core/coord/steer/steer_test.go
@@ -53,6 +53,7 @@
 		Reset: func(flow state.FlowID, _ uint32) { w.resets = append(w.resets, flow) },
 		Note:  func(d relay.Decision) { w.notes = append(w.notes, d) },
 	})
+	w.b.SetComplete(true)
 	return w
 }
 
@@ -306,6 +307,31 @@
 	w.is.Equal(w.resets, []state.FlowID{flow(1)})
 }
 
+// Pattern: a balancer joins a large fleet and is told of its agents little by little.
+func TestNoResetWhileOthersKnowMoreAgents(t *testing.T) {
+	w := newWorld(t)
+	w.settled(1)
+	w.b.SetComplete(false)
+	w.b.Packet(w.now, data(flow(1)))
+	w.notHeld(agent(1), flow(1), noPacket)
+	w.pass(time.Second, 1)
+	w.is.Equal(len(w.resets), 0)
+	w.b.SetComplete(true)
+	w.pass(200*time.Millisecond, 1)
+	w.is.Equal(w.resets, []state.FlowID{flow(1)})
+}
+
+// An agent whose target has ended holds no flows: whether it still answers does not matter.
+func TestAgentWithoutATargetIsNotWaitedFor(t *testing.T) {
+	w := newWorld(t)
+	w.settled(1, 2)
+	w.report(2, relay.Load{Reason: relay.ReasonGone, Period: time.Second})
+	w.b.Packet(w.now, data(flow(1)))
+	w.is.Equal(w.count(relay.KindAsk), 1)
+	w.notHeld(agent(1), flow(1), noPacket)
+	w.is.Equal(w.resets, []state.FlowID{flow(1)})
+}
+
 func TestFlowsOfADeadAgentAreReset(t *testing.T) {
 	w := newWorld(t)
 	w.settled(1, 2)
--- a/core/coord/steer/target.go
+++ b/core/coord/steer/target.go
@@ -60,7 +60,7 @@
 	case state.HealthDead:
 		return now.Sub(t.heardAt) > lostAfter
 	case state.HealthLeft:
-		return t.load.Reason == relay.ReasonNotReady || now.Sub(t.changedAt) > plannedAbsence
+		return t.load.Reason == relay.ReasonGone || now.Sub(t.changedAt) > plannedAbsence
 	default:
 		return false
 	}
@@ -181,9 +181,13 @@
 }
 
 // holders returns the targets that may hold a flow to an address: all of them before the first configuration.
+// Those whose target is gone hold none.
 func (b *Balancer) holders(virtual state.End) []*target {
 	var found []*target
 	for _, t := range b.targets {
+		if t.load.Reason == relay.ReasonGone {
+			continue
+		}
 		if b.config.Version == 0 || slices.Contains(b.served[virtual], t.service) {
 			found = append(found, t)
 		}
--- a/io/relay/fleet.go
+++ b/io/relay/fleet.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"time"
@@ -16,11 +17,17 @@
 	suspicion   = 1200 * time.Millisecond
 	// gossipBytes bounds a node's membership messages, in bytes a second; a start of the whole fleet needs several
 	// times what an ordinary second does.
-	gossipBytes = 24 << 10
+	gossipBytes = 48 << 10
 	// joinPeriod is the time between two calls to the seeds while nobody answers.
 	joinPeriod = 100 * time.Millisecond
 	// rejoinPeriod is the time between two calls to the seeds otherwise, so that halves of a fleet find each other.
-	rejoinPeriod = 5 * time.Second
+	rejoinPeriod = 10 * time.Second
+	// syncPeriod is the time between two comparisons with a random member while this node is young, or others know more
+	// agents than it does.
+	syncPeriod = 100 * time.Millisecond
+	youngTime  = 2 * time.Second
+	// joinFanout is how many seeds are called at a time, drawn at random.
+	joinFanout = 3
 	// maxSeeds bounds the addresses that are called.
 	maxSeeds = 64
 	// configKey is the key of the record that tells the newest configuration and who has it.
@@ -34,7 +41,9 @@
 	log     logs.Logger
 	// seen is the machine's version when members were last handed out.
 	seen     uint64
+	started  time.Time
 	nextJoin time.Time
+	nextSync time.Time
 	// alone is true while no other node is known.
 	alone bool
 	left  bool
@@ -50,7 +59,7 @@
 	row := state.Member{ID: state.NewInstanceID(s.Instance, state.Millis(started.UnixMilli())), Announcement: self}
 	machine := gossip.New(row, state.NewBook(), uint64(started.UnixNano()),
 		gossip.WithProbePeriod(probePeriod), gossip.WithSuspicion(suspicion), gossip.WithBytesPerSecond(gossipBytes))
-	return &fleet{machine: machine, seeds: s.Seeds, log: log, alone: true}
+	return &fleet{machine: machine, seeds: s.Seeds, log: log, started: started, alone: true}
 }
 
 func (f *fleet) tick(now time.Time) []gossip.Send {
@@ -58,6 +67,11 @@
 		return nil
 	}
 	sends := f.machine.Tick(now)
+	young := now.Sub(f.started) < youngTime
+	if (young || !f.machine.Complete()) && !now.Before(f.nextSync) {
+		f.nextSync = now.Add(syncPeriod)
+		sends = append(sends, f.machine.Sync()...)
+	}
 	if now.Before(f.nextJoin) {
 		return sends
 	}
@@ -65,7 +79,14 @@
 	if f.machine.Size() == 1 {
 		f.nextJoin = now.Add(joinPeriod)
 	}
-	return append(sends, f.machine.Join(f.seeds)...)
+	return append(sends, f.machine.Join(f.someSeeds())...)
+}
+
+// someSeeds draws a few of the seeds.
+func (f *fleet) someSeeds() []netip.AddrPort {
+	drawn := slices.Clone(f.seeds)
+	rand.Shuffle(len(drawn), func(i, j int) { drawn[i], drawn[j] = drawn[j], drawn[i] })
+	return drawn[:min(joinFanout, len(drawn))]
 }
 
 func (f *fleet) receive(now time.Time, from netip.AddrPort, m gossip.Message) []gossip.Send {
