steer: new flows go to one of 8 ranked targets, and lost flows are looked for there first

Questions and load reports were lost for 15 s. Change: a new flow goes to the least expected delay among the 8 targets that rank first for it by a rendezvous hash, then the next 8; a search asks the same 8 first, then twice as many, at most 4,000 packets a second.

--- a/core/coord/steer/choose.go
+++ b/core/coord/steer/choose.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -10,6 +11,10 @@
 )
 
 const (
+	// choices is how many targets are weighed for a new flow, of those that rank first for it. A few suffice for an even
+	// load (Mitzenmacher, "The power of two choices in randomized load balancing", 2001), and a balancer that
+	// knows nothing of a flow has to ask only these.
+	choices = 8
 	// maxTries is how many targets are offered a new flow before it is refused.
 	maxTries = 4
 	// repeatWait is how long an agent has to confirm a new flow before a copy of the opening packet is offered
@@ -73,27 +78,49 @@
 	b.place(now, route, seg, p)
 }
 
-// choose returns the target of a service with the least expected time to an answer, and how many were weighed.
+// choose returns the target with the least expected time to an answer among those of a service that rank first for the
+// flow and take flows, and how many were weighed.
 func (b *Balancer) choose(now time.Time, service state.ServiceName, flow state.FlowID, not []*target) (*target, int) {
+	var members []*target
+	for _, t := range b.targets {
+		if t.service == service {
+			members = append(members, t)
+		}
+	}
+	members = ranked(flow, members)
+	for first := 0; first < len(members); first += choices {
+		best, weighed := b.cheapest(now, members[first:min(first+choices, len(members))], not)
+		if best != nil {
+			return best, weighed
+		}
+	}
+	return nil, len(members)
+}
+
+// cheapest returns the best of a few targets, and how many of them take flows.
+func (b *Balancer) cheapest(now time.Time, targets, not []*target) (*target, int) {
 	var best *target
 	var least time.Duration
 	weighed := 0
-	for _, t := range b.targets {
-		if t.service != service || !t.takes(now) || slices.Contains(not, t) {
+	for _, t := range targets {
+		if !t.takes(now) || slices.Contains(not, t) {
 			continue
 		}
 		weighed++
-		cost := b.cost(t)
-		if best == nil || cost < least || cost == least && ranks(flow, t, best) {
+		if cost := b.cost(t); best == nil || cost < least {
 			best, least = t, cost
 		}
 	}
 	return best, weighed
 }
 
-// ranks decides between targets of equal cost, alike on every balancer.
-func ranks(flow state.FlowID, t, other *target) bool {
-	return rank.Score(flow.Hash(), t.hash) > rank.Score(flow.Hash(), other.hash)
+// ranked sorts targets by their rank for a flow, which is the same on every balancer.
+func ranked(flow state.FlowID, targets []*target) []*target {
+	key := flow.Hash()
+	slices.SortFunc(targets, func(x, y *target) int {
+		return cmp.Compare(rank.Score(key, y.hash), rank.Score(key, x.hash))
+	})
+	return targets
 }
 
 // cost is the expected time that one more request adds at a target: what is there and on the way, times the time of an
--- a/core/coord/steer/receive.go
+++ b/core/coord/steer/receive.go
@@ -109,6 +109,6 @@
 	s.denied = append(s.denied, t)
 	s.asked = slices.DeleteFunc(s.asked, func(other *target) bool { return other == t })
 	if s.agents && len(s.asked) == 0 {
-		b.conclude(now, s)
+		b.askNext(now, s)
 	}
 }
--- a/core/coord/steer/search.go
+++ b/core/coord/steer/search.go
@@ -12,8 +12,14 @@
 const (
 	// ownerWait is how long the owners of a flow have to answer before all agents are asked.
 	ownerWait = 40 * time.Millisecond
-	// agentWait is how long the agents have to answer; the client's next copy starts another search.
-	agentWait = 300 * time.Millisecond
+	// agentWait is how long the agents of one batch have to answer before the next ones are asked too.
+	agentWait = 150 * time.Millisecond
+	// batchGrowth is by how much each batch is larger than the one before.
+	batchGrowth = 2
+	// asksPerSecond bounds the packets that one balancer sends to look for flows: they share its link with the flows
+	// that have been found. asksBurst is what it may send at once.
+	asksPerSecond = 4000
+	asksBurst     = 400
 	// maxHeld is how many packets of one flow wait for the end of a search.
 	maxHeld = 4
 	// settleTime is how long a balancer must have heard of no new agent before it takes its list of agents for complete;
@@ -34,11 +40,14 @@
 	held    [][]byte
 	// owners are those that have not answered yet.
 	owners []netip.AddrPort
-	// asked are the targets that were asked and have not answered; nil while owners are asked.
+	// asked are the targets that were asked and have not answered.
 	asked []*target
 	// denied are the targets that do not hold the flow.
-	denied   []*target
-	agents   bool
+	denied []*target
+	// agents is true once agents are asked, and no longer owners.
+	agents bool
+	// batch is how many agents are asked next.
+	batch    int
 	since    time.Time
 	deadline time.Time
 }
@@ -85,22 +94,42 @@
 		return
 	}
 	s.agents = true
-	if !b.askRest(now, s) {
-		b.conclude(now, s)
-	}
+	s.batch = choices
+	b.askNext(now, s)
 }
 
-// askRest asks the agents that have not denied the flow yet, and reports whether there were any.
-func (b *Balancer) askRest(now time.Time, s *search) bool {
+// askNext asks the next batch of agents, the likeliest first. Without any left it concludes if all have answered.
+func (b *Balancer) askNext(now time.Time, s *search) {
 	s.deadline = now.Add(agentWait)
-	for _, t := range b.holders(s.segment.Flow.Virtual) {
-		if slices.Contains(s.denied, t) || t.lost(now) {
-			continue
+	rest := b.unasked(now, s)
+	if len(rest) == 0 {
+		if len(s.asked) == 0 {
+			b.conclude(now, s)
 		}
+		return
+	}
+	rest = rest[:min(s.batch, len(rest))]
+	if !b.asks.take(now, len(rest)) {
+		s.deadline = now.Add(doubtWait)
+		return
+	}
+	s.batch *= batchGrowth
+	for _, t := range rest {
 		s.asked = append(s.asked, t)
 		b.forward(relay.KindAsk, t, s.segment)
 	}
-	return len(s.asked) > 0
+}
+
+// unasked returns the targets that may hold the flow and were not asked, in the order in which a balancer prefers them
+// for it: a flow is most likely where it would be placed again.
+func (b *Balancer) unasked(now time.Time, s *search) []*target {
+	var rest []*target
+	for _, t := range ranked(s.segment.Flow, b.holders(s.segment.Flow.Virtual)) {
+		if !slices.Contains(s.denied, t) && !slices.Contains(s.asked, t) && !t.lost(now) {
+			rest = append(rest, t)
+		}
+	}
+	return rest
 }
 
 // placeSearched offers a new flow whose place no owner knows.
@@ -141,12 +170,11 @@
 		return
 	}
 	s.asked = slices.DeleteFunc(s.asked, func(t *target) bool { return t.lost(now) })
-	switch {
-	case len(s.asked) > 0 || now.Sub(s.since) > searchLimit:
+	if now.Sub(s.since) > searchLimit || len(s.asked) > 0 && len(b.unasked(now, s)) == 0 {
 		b.endSearch(flow)
-	case !b.askRest(now, s):
-		b.conclude(now, s)
+		return
 	}
+	b.askNext(now, s)
 }
 
 // found ends a search: the packets that waited go to the holder. One that came with an ask was delivered.
--- a/core/coord/steer/steer.go
+++ b/core/coord/steer/steer.go
@@ -50,6 +50,8 @@
 	// waiting holds new flows for which a target is expected within moments.
 	waiting map[state.FlowID]*opening
 	owners  relay.Owners
+	// asks bounds the search for flows.
+	asks    bucket
 	started time.Time
 	// complete is true while the membership knows as many members as others do.
 	complete bool
@@ -82,6 +84,7 @@
 		flows:    make(map[state.FlowID]*place),
 		searches: make(map[state.FlowID]*search),
 		waiting:  make(map[state.FlowID]*opening),
+		asks:     bucket{tokens: asksBurst, last: now},
 		started:  now,
 	}
 }
--- a/core/coord/steer/steer_test.go
+++ b/core/coord/steer/steer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -257,6 +258,35 @@
 }
 
 // A client whose flow nobody holds is told at once; one whose holder may be an agent that did not answer is not.
+// Pattern: all processes of a large fleet were killed, and every open flow has to be looked for. Those agents are asked
+// first at which the flow would be placed.
+func TestLikelyAgentsAreAskedFirst(t *testing.T) {
+	agents := make([]byte, 60)
+	for i := range agents {
+		agents[i] = byte(i + 1)
+	}
+	w := newWorld(t)
+	w.settled(agents...)
+	for n := range uint16(20) {
+		w.clear()
+		w.b.Packet(w.now, opens(flow(n), 0))
+		placed, _ := w.last(relay.KindOpen)
+		fresh := newWorld(t)
+		fresh.settled(agents...)
+		fresh.b.Packet(fresh.now, data(flow(n)))
+		fresh.is.Equal(fresh.count(relay.KindAsk), 8)
+		asked := false
+		for _, s := range fresh.sent {
+			asked = asked || s.to == placed.to
+		}
+		fresh.is.True(asked)
+		for _, s := range slices.Clone(fresh.sent) {
+			fresh.notHeld(s.to, flow(n), noPacket)
+		}
+		fresh.is.Equal(fresh.count(relay.KindAsk), 8+16) // then more of them
+	}
+}
+
 func TestResetOnlyIfEveryAgentDenies(t *testing.T) {
 	w := newWorld(t)
 	w.settled(1, 2, 3)
