relay: histograms of answers and searches, a metrics address of its own, a bound on the log's volume

Lines are bounded to 500 a second and 1,024 waiting for each process; what is dropped is counted (monsoonstep_log_lines_dropped).

--- a/core/coord/gate/gate.go
+++ b/core/coord/gate/gate.go
@@ -26,6 +26,8 @@
 	Reset func(flow state.FlowID, sequence uint32)
 	// Note records a decision.
 	Note func(relay.Decision)
+	// Answered records how long the target took for the first packet of an answer.
+	Answered func(took time.Duration)
 }
 
 // Settings are the fixed facts of a gate.
--- a/core/coord/gate/gate_test.go
+++ b/core/coord/gate/gate_test.go
@@ -63,6 +63,8 @@
 		Reply:   func(_ state.End, packet []byte) { w.replies = append(w.replies, string(packet)) },
 		Reset:   func(f state.FlowID, _ uint32) { w.resets = append(w.resets, f) },
 		Note:    func(relay.Decision) {},
+
+		Answered: func(time.Duration) {},
 	})
 	w.g.SetBalancers([]netip.AddrPort{front, second})
 }
--- a/core/coord/gate/inbound.go
+++ b/core/coord/gate/inbound.go
@@ -136,10 +136,13 @@
 	if g.toldFull && g.room() > 0 && now.Sub(g.lastReport) >= roomReportGap {
 		g.report(now)
 	}
+	took := now.Sub(f.busySince)
+	if f.asked {
+		g.do.Answered(took)
+	}
 	if !f.sample {
 		return
 	}
-	took := now.Sub(f.busySince)
 	if g.serviceTime == 0 {
 		g.serviceTime = took
 		return
--- a/core/coord/gate/tick.go
+++ b/core/coord/gate/tick.go
@@ -35,6 +35,7 @@
 			g.forget(id, f)
 		case f.busy && now.Sub(f.busySince) > f.busyLimit():
 			f.sample = false
+			f.asked = false
 			g.endRequest(now, f)
 		}
 	}
--- a/io/admin/admin.go
+++ b/io/admin/admin.go
@@ -30,8 +30,6 @@
 	State func() any
 	// Ready returns why the process takes no new work, or nil.
 	Ready func() error
-	// More adds pages of the process's own; it may be nil.
-	More func(*http.ServeMux)
 }
 
 // Serve serves the pages until the group stops.
@@ -79,8 +77,5 @@
 		}
 		_, _ = w.Write([]byte("ok\n"))
 	})
-	if p.More != nil {
-		p.More(mux)
-	}
 	return mux
 }
--- a/io/conf/relay.go
+++ b/io/conf/relay.go
@@ -16,6 +16,8 @@
 	Internal netip.AddrPort
 	// Packets is where a balancer takes the packets of clients; clients take theirs at the same port.
 	Packets netip.AddrPort
+	// Admin is where metrics and the state are served.
+	Admin netip.AddrPort
 	// Ready is where the readiness page is served.
 	Ready netip.AddrPort
 	// Control is where targets send their heartbeats.
@@ -69,6 +71,7 @@
 		Region:          state.Region(r.text("region", true, placeNames, placeForm)),
 		Internal:        r.address("internalAddress", true),
 		Packets:         r.address("packetAddress", true),
+		Admin:           r.address("adminAddress", true),
 		Ready:           r.address("readyAddress", true),
 		Control:         r.address("controlAddress", true),
 		Seeds:           r.addresses("seeds", false),
--- a/io/logs/ring.go
+++ b/io/logs/ring.go
@@ -4,23 +4,31 @@
 	"context"
 	"io"
 	"sync/atomic"
+
+	"golang.org/x/time/rate"
 )
 
-// Ring is a writer that never blocks: lines wait in a bounded ring for the duty that writes them, and are
-// dropped and counted when it is full.
+// Ring is a writer that never blocks and whose volume is bounded: lines wait in a bounded ring for the duty that writes
+// them. Lines beyond the rate, or beyond the ring, are dropped and counted.
 type Ring struct {
 	lines   chan []byte
 	out     io.Writer
+	limit   *rate.Limiter
 	dropped atomic.Uint64
 }
 
-// NewRing returns a ring of at most size lines before out. Run must be started for lines to be written.
-func NewRing(out io.Writer, size int) *Ring {
-	return &Ring{lines: make(chan []byte, size), out: out}
+// NewRing returns a ring of at most size lines before out, which takes so many lines a second after a burst of as many as the ring
+// holds. Run must be started for lines to be written.
+func NewRing(out io.Writer, size int, linesPerSecond float64) *Ring {
+	return &Ring{lines: make(chan []byte, size), out: out, limit: rate.NewLimiter(rate.Limit(linesPerSecond), size)}
 }
 
 // Write takes one line. It never fails.
 func (r *Ring) Write(line []byte) (int, error) {
+	if !r.limit.Allow() {
+		r.dropped.Add(1)
+		return len(line), nil
+	}
 	select {
 	case r.lines <- append([]byte(nil), line...):
 	default:
--- a/io/proc/proc.go
+++ b/io/proc/proc.go
@@ -15,8 +15,12 @@
 	"monsoonstep/io/logs"
 )
 
-// logLines is how many log lines wait to be written; more are dropped and counted.
-const logLines = 1024
+const (
+	// logLines is how many log lines wait to be written; more are dropped and counted.
+	logLines = 1024
+	// logLinesPerSecond bounds the volume of the log: about 100 kB a second.
+	logLinesPerSecond = 500
+)
 
 // Process is a running process.
 type Process struct {
@@ -33,7 +37,7 @@
 	if err != nil {
 		return nil, err
 	}
-	ring := logs.NewRing(out, logLines)
+	ring := logs.NewRing(out, logLines, logLinesPerSecond)
 	p := &Process{
 		Group:   g,
 		Log:     logs.New(ring, level),
--- a/io/relay/balancer.go
+++ b/io/relay/balancer.go
@@ -76,8 +76,8 @@
 	return nil
 }
 
-// Pages adds the pages that other balancers read.
-func (b *Balancer) Pages(mux *http.ServeMux) { b.config.pages(mux) }
+// Pages returns the page that other balancers read.
+func (b *Balancer) Pages() http.Handler { return b.config.pages() }
 
 // Stop ends the balancer gracefully: it says that it is not ready, carries packets until the routers send none, and
 // leaves the fleet.
--- a/io/relay/config.go
+++ b/io/relay/config.go
@@ -86,7 +86,8 @@
 	k.b.group.Go("configuration fetcher", k.fetch)
 }
 
-func (k *configKeeper) pages(mux *http.ServeMux) {
+func (k *configKeeper) pages() http.Handler {
+	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+configPath, func(w http.ResponseWriter, _ *http.Request) {
 		latest := k.latest.Load()
 		if latest == nil {
@@ -95,6 +96,7 @@
 		}
 		_, _ = w.Write(latest.raw)
 	})
+	return mux
 }
 
 func (k *configKeeper) setBalancers(list []netip.AddrPort) {
