--- a/core/coord/steer/choose.go
+++ b/core/coord/steer/choose.go
@@ -50,12 +50,16 @@
 
 // postpone keeps a new flow that no target takes now for a moment, if one may take it soon, and refuses it otherwise.
 func (b *Balancer) postpone(now time.Time, service state.ServiceName, seg state.Segment, p *place, weighed int) {
-	if p.full || b.expects(now, service) {
+	reason := relay.ReasonNotReady
+	if p.full || b.anyServes(now, service) {
+		reason = relay.ReasonFull
+	}
+	if reason == relay.ReasonFull || b.expects(now, service) {
 		delete(b.flows, seg.Flow)
-		b.wait(now, seg, p.waited)
+		b.wait(now, seg, p.waited, reason)
 		return
 	}
-	b.refuse(seg, relay.ReasonNotReady, weighed)
+	b.refuse(seg, reason, weighed)
 }
 
 // refuse resets a new flow: it has not opened, so nothing of it has run.
--- a/core/coord/steer/steer.go
+++ b/core/coord/steer/steer.go
@@ -142,7 +142,7 @@
 	}
 	switch {
 	case seg.Opens && b.config.Version == 0:
-		b.wait(now, seg, now)
+		b.wait(now, seg, now, relay.ReasonNotReady)
 	case seg.Opens && seg.Acknowledged == 0:
 		b.place(now, route, seg, &place{since: now})
 	default:
--- a/core/coord/steer/waiting.go
+++ b/core/coord/steer/waiting.go
@@ -24,34 +24,46 @@
 type opening struct {
 	segment state.Segment
 	since   time.Time
+	// reason is why the flow could not be placed at once.
+	reason relay.Reason
 }
 
 // wait keeps a new flow for a moment, or refuses it if too many wait. A flow that waited before, and was then offered
 // in vain, goes on waiting from the time since.
-func (b *Balancer) wait(now time.Time, seg state.Segment, since time.Time) {
+func (b *Balancer) wait(now time.Time, seg state.Segment, since time.Time, reason relay.Reason) {
 	if _, known := b.waiting[seg.Flow]; known {
 		return
 	}
 	if len(b.waiting) >= maxWaiting {
-		b.refuse(seg, relay.ReasonNotReady, len(b.waiting))
+		b.refuse(seg, reason, len(b.waiting))
 		return
 	}
 	seg.Packet = append([]byte(nil), seg.Packet...)
 	if since.IsZero() {
 		since = now
 	}
-	b.waiting[seg.Flow] = &opening{segment: seg, since: since}
+	b.waiting[seg.Flow] = &opening{segment: seg, since: since, reason: reason}
 }
 
-// expects reports whether a target of a service may take flows within moments: this balancer has just started and
-// has heard of none, a target is full just now, or an agent of the service runs and has not heard from its target yet.
+// anyServes reports whether a target of a service takes flows, if not at this moment.
+func (b *Balancer) anyServes(now time.Time, service state.ServiceName) bool {
+	for _, t := range b.targets {
+		if t.service == service && t.serves(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// expects reports whether a target of a service may appear within moments: this balancer has just started and has heard of
+// none, or an agent of the service runs and has not heard from its target yet.
 func (b *Balancer) expects(now time.Time, service state.ServiceName) bool {
 	heard := false
 	for _, t := range b.targets {
 		if t.service != service {
 			continue
 		}
-		if t.serves(now) || t.isStarting(now) {
+		if t.isStarting(now) {
 			return true
 		}
 		heard = heard || !t.heardAt.IsZero()
@@ -72,7 +84,7 @@
 			b.place(now, route, o.segment, &place{since: now, waited: o.since})
 		case now.Sub(o.since) >= waitLimit:
 			delete(b.waiting, id)
-			b.refuse(o.segment, relay.ReasonNotReady, len(b.waiting))
+			b.refuse(o.segment, o.reason, len(b.waiting))
 		}
 	}
 }
