--- a/core/coord/steer/steer.go
+++ b/core/coord/steer/steer.go
@@ -155,6 +155,8 @@
 	switch {
 	case p.target.lost(now):
 		b.drop(now, seg, p)
+	case route.Idempotent && !seg.Opens && p.target.silent(now) && b.hearsMost(now):
+		b.drop(now, seg, p)
 	case seg.Opens:
 		b.repeat(now, route, seg, p)
 	default:
--- a/core/coord/steer/steer_test.go
+++ b/core/coord/steer/steer_test.go
@@ -374,6 +374,42 @@
 	w.is.Equal(w.resets, []state.FlowID{flow(1)})
 }
 
+// Pattern: a machine is paused with open flows. Requests that may be repeated are sent elsewhere by their callers; others
+// may still be answered, and are left.
+func TestFlowsOfASilentAgentAreResetIfRepeatable(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		w := newWorld(t)
+		c := config(1, service)
+		route := c.Routes[virtual]
+		route.Idempotent = idempotent
+		c.Routes[virtual] = route
+		w.b.Configure(c)
+		w.settled(1, 2, 3, 4, 5)
+		w.held(agent(1), agent(1), flow(1))
+		w.pass(800*time.Millisecond, 2, 3, 4, 5)
+		w.b.Packet(w.now, data(flow(1)))
+		w.is.Equal(len(w.resets), 0) // a process that was killed is not back yet
+		w.pass(400*time.Millisecond, 2, 3, 4, 5)
+		w.b.Packet(w.now, data(flow(1)))
+		w.is.Equal(len(w.resets) == 1, idempotent)
+	}
+}
+
+// A balancer that hears nobody is cut off itself.
+func TestNoResetWhenEverybodyIsSilent(t *testing.T) {
+	w := newWorld(t)
+	c := config(1, service)
+	route := c.Routes[virtual]
+	route.Idempotent = true
+	c.Routes[virtual] = route
+	w.b.Configure(c)
+	w.settled(1, 2, 3, 4, 5)
+	w.held(agent(1), agent(1), flow(1))
+	w.pass(2*time.Second, 2)
+	w.b.Packet(w.now, data(flow(1)))
+	w.is.Equal(len(w.resets), 0)
+}
+
 // An agent that left on purpose is started again beside the same target, which still holds the flows.
 func TestFlowsOfAStoppedAgentAreKept(t *testing.T) {
 	w := newWorld(t)
--- a/core/coord/steer/target.go
+++ b/core/coord/steer/target.go
@@ -18,6 +18,13 @@
 	// lostAfter is how long an agent that the membership calls dead must be silent before its flows are
 	// given up.
 	lostAfter = 1500 * time.Millisecond
+	// silenceLimit and silenceReports are for how long, and for how many reports at least, an agent must be silent before
+	// flows whose requests may be repeated are given up: a process that was killed is back by then.
+	silenceLimit   = time.Second
+	silenceReports = 5
+	// heardShare of heardOf of the agents must be heard for the silence of one to be its own, and not this balancer's.
+	heardShare = 1
+	heardOf    = 2
 	// plannedAbsence is how long the flows of an agent that left on purpose are kept: it is started again
 	// beside the same target within seconds.
 	plannedAbsence = 8 * time.Second
@@ -66,6 +73,16 @@
 	}
 }
 
+// silent reports whether the agent has stopped reporting, without having said that it stops: its machine is paused, cut
+// off or dead, which the membership finds out later.
+func (t *target) silent(now time.Time) bool {
+	if t.heardAt.IsZero() || t.health == state.HealthLeft || t.load.Reason == relay.ReasonStopping {
+		return false
+	}
+	limit := max(silenceLimit, time.Duration(silenceReports*float64(t.load.Period)))
+	return now.Sub(t.heardAt) > limit
+}
+
 // takes reports whether the target may be given new flows.
 func (t *target) takes(now time.Time) bool {
 	return t.serves(now) && !now.Before(t.avoidUntil) && !now.Before(t.fullUntil) && (t.heardAt.IsZero() || t.load.Room > t.sent)
@@ -227,3 +244,18 @@
 	}
 	return rows
 }
+
+// hearsMost reports whether most agents are heard, so that the silence of one is not this balancer's own.
+func (b *Balancer) hearsMost(now time.Time) bool {
+	heard, all := 0, 0
+	for _, t := range b.targets {
+		if !t.member || t.health == state.HealthDead || t.health == state.HealthLeft {
+			continue
+		}
+		all++
+		if !t.heardAt.IsZero() && !t.silent(now) {
+			heard++
+		}
+	}
+	return heard*heardOf >= all*heardShare
+}
