gate: a silent target is checked by a connection before it counts as gone; searches that end in doubt say why

Change: at the start and after 1.5 missed heartbeats the agent connects to its target; refused means gone.

--- a/core/coord/gate/gate.go
+++ b/core/coord/gate/gate.go
@@ -24,6 +24,8 @@
 	Reply func(client state.End, packet []byte)
 	// Reset sends a client a reset of its flow with a sequence number that it accepts.
 	Reset func(flow state.FlowID, sequence uint32)
+	// Check finds out whether the target's address still accepts connections, and calls Checked.
+	Check func()
 	// Note records a decision.
 	Note func(relay.Decision)
 	// Answered records how long the target took for the first packet of an answer.
@@ -51,8 +53,8 @@
 	openWait = 2 * time.Second
 	// busyLimit is how long a request counts as running without an answer; above the deadlines of callers.
 	busyLimit = 10 * time.Second
-	// missedHeartbeats is how many heartbeats a target may miss before it counts as gone.
-	missedHeartbeats = 2.5
+	// missedHeartbeats is how many heartbeats a target may miss before it is checked.
+	missedHeartbeats = 1.5
 	// reportPeriod is the time between load reports to a balancer in a small fleet.
 	reportPeriod = 200 * time.Millisecond
 	// roomReportGap is the least time between two reports when room comes free at a full target.
@@ -97,8 +99,10 @@
 	// unsureUntil is when a gate that started beside a running target knows all of its flows: flows that
 	// were silent for so long may be dropped by anyone.
 	unsureUntil time.Time
-	nextReport  time.Time
-	lastReport  time.Time
+	// nextCheck is the earliest time of the next check of the target.
+	nextCheck  time.Time
+	nextReport time.Time
+	lastReport time.Time
 	// toldFull is true if the balancers were last told that there is no room.
 	toldFull bool
 	// stopping is set once the agent itself ends.
--- a/core/coord/gate/target.go
+++ b/core/coord/gate/target.go
@@ -191,14 +191,25 @@
 	}
 }
 
-// watchTarget finds out that a target has fallen silent, or has not appeared since the agent's start.
+// watchTarget has a target checked that has fallen silent, or has not appeared since the agent's start. Silence alone proves
+// nothing: heartbeats may be late.
 func (g *Gate) watchTarget(now time.Time) {
 	t := &g.target
-	if t.gone {
+	if t.gone || now.Before(g.nextCheck) {
 		return
 	}
 	limit := time.Duration(missedHeartbeats * float64(g.settings.HeartbeatPeriod))
-	if now.Sub(t.heard) > limit && now.Sub(t.lastOut) > g.settings.HeartbeatPeriod {
+	silent := now.Sub(t.heard) > limit && now.Sub(t.lastOut) > g.settings.HeartbeatPeriod
+	if silent || !t.known {
+		g.nextCheck = now.Add(g.settings.HeartbeatPeriod)
+		g.do.Check()
+	}
+}
+
+// Checked takes in whether the target's address accepted a connection. One that does not has no target.
+func (g *Gate) Checked(now time.Time, accepts bool) {
+	recent := g.target.known && now.Sub(g.target.heard) < g.settings.HeartbeatPeriod
+	if !accepts && !recent {
 		g.targetGone(now)
 	}
 }
@@ -209,10 +220,10 @@
 // refusal returns why the target may not be given new flows.
 func (g *Gate) refusal() relay.Reason {
 	switch {
-	case g.stopping:
-		return relay.ReasonStopping
 	case g.target.gone:
 		return relay.ReasonGone
+	case g.stopping:
+		return relay.ReasonStopping
 	case !g.target.known:
 		return relay.ReasonNotReady
 	case g.target.draining:
--- a/core/coord/relay/decision.go
+++ b/core/coord/relay/decision.go
@@ -24,6 +24,8 @@
 	EventSearch
 	// EventFound: a balancer learnt which agent holds a flow.
 	EventFound
+	// EventDoubted: a balancer did not find a flow, and can't be sure that nobody holds it.
+	EventDoubted
 	// EventAccepted: an agent's target took a new flow.
 	EventAccepted
 	// EventTurnedAway: an agent gave an opening packet back.
@@ -47,7 +49,7 @@
 // String returns the event's name in logs and metrics.
 func (e Event) String() string {
 	names := [EventCount]string{
-		"placed", "refused", "noRoute", "reset", "search", "found", "accepted", "turnedAway", "notHeld",
+		"placed", "refused", "noRoute", "reset", "search", "found", "doubted", "accepted", "turnedAway", "notHeld",
 		"adopted", "ended", "targetReady", "targetDraining", "targetGone",
 	}
 	if e >= EventCount {
--- a/core/coord/relay/message.go
+++ b/core/coord/relay/message.go
@@ -61,12 +61,21 @@
 	ReasonMisdirected
 	// ReasonStopping means that the agent itself is ending.
 	ReasonStopping
+	// ReasonIncomplete means that others know of more agents than this balancer.
+	ReasonIncomplete
+	// ReasonUnsettled means that this balancer, or an agent, has just started.
+	ReasonUnsettled
+	// ReasonUnanswered means that agents that may hold the flow did not answer.
+	ReasonUnanswered
 	reasonCount
 )
 
 // String returns the reason's name in logs.
 func (r Reason) String() string {
-	names := [reasonCount]string{"none", "draining", "notReady", "gone", "full", "misdirected", "stopping"}
+	names := [reasonCount]string{
+		"none", "draining", "notReady", "gone", "full", "misdirected", "stopping",
+		"incomplete", "unsettled", "unanswered",
+	}
 	return names[min(r, reasonCount-1)]
 }
 
--- a/core/coord/steer/search.go
+++ b/core/coord/steer/search.go
@@ -46,6 +46,8 @@
 	denied []*target
 	// agents is true once agents are asked, and no longer owners.
 	agents bool
+	// doubt is why the search was not concluded when all that were asked had denied the flow.
+	doubt relay.Reason
 	// batch is how many agents are asked next.
 	batch    int
 	since    time.Time
@@ -151,32 +153,58 @@
 // conclude ends a search in which all that were asked denied the flow. The client is told at once, or as soon as this
 // balancer can be sure that there is no agent that it has not heard of.
 func (b *Balancer) conclude(now time.Time, s *search) {
-	if b.config.Version == 0 || !b.settled(now) {
+	if doubt := b.doubt(now); doubt != relay.ReasonNone {
 		s.deadline = now.Add(doubtWait)
+		s.doubt = doubt
 		return
 	}
 	b.endSearch(s.segment.Flow)
 	b.reset(s.segment, relay.Decision{Age: now.Sub(s.since), Count: len(s.denied)})
 }
 
-func (b *Balancer) settled(now time.Time) bool {
-	return b.complete && now.Sub(b.started) > settleStart && now.Sub(b.lastArrival) > settleTime
+// doubt returns why denials by all known agents do not prove that nobody holds a flow.
+func (b *Balancer) doubt(now time.Time) relay.Reason {
+	switch {
+	case b.config.Version == 0:
+		return relay.ReasonNotReady
+	case !b.complete:
+		return relay.ReasonIncomplete
+	case now.Sub(b.started) <= settleStart || now.Sub(b.lastArrival) <= settleTime:
+		return relay.ReasonUnsettled
+	default:
+		return relay.ReasonNone
+	}
 }
 
 // expireSearch goes on when answers stay out.
-func (b *Balancer) expireSearch(now time.Time, flow state.FlowID, s *search) {
+func (b *Balancer) expireSearch(now time.Time, s *search) {
 	if !s.agents {
 		b.askAgents(now, s)
 		return
 	}
 	s.asked = slices.DeleteFunc(s.asked, func(t *target) bool { return t.lost(now) })
-	if now.Sub(s.since) > searchLimit || len(s.asked) > 0 && len(b.unasked(now, s)) == 0 {
-		b.endSearch(flow)
+	unanswered := len(s.asked) > 0 && len(b.unasked(now, s)) == 0
+	if now.Sub(s.since) > searchLimit || unanswered {
+		b.giveUp(now, s)
 		return
 	}
 	b.askNext(now, s)
 }
 
+// giveUp ends a search without a finding; the client's next copy starts another one.
+func (b *Balancer) giveUp(now time.Time, s *search) {
+	b.endSearch(s.segment.Flow)
+	d := relay.Decision{
+		Event: relay.EventDoubted, Flow: s.segment.Flow, Reason: s.doubt, Config: b.config.Version,
+		Age: now.Sub(s.since), Count: len(s.asked),
+	}
+	if len(s.asked) > 0 {
+		d.Reason = relay.ReasonUnanswered
+		d.Peer = s.asked[0].address
+	}
+	b.do.Note(d)
+}
+
 // found ends a search: the packets that waited go to the holder. One that came with an ask was delivered.
 func (b *Balancer) found(now time.Time, s *search, t *target, delivered bool) {
 	b.endSearch(s.segment.Flow)
--- a/core/coord/steer/steer.go
+++ b/core/coord/steer/steer.go
@@ -215,9 +215,9 @@
 
 // Tick lets time pass. It is called every TickPeriod.
 func (b *Balancer) Tick(now time.Time) {
-	for id, s := range b.searches {
+	for _, s := range b.searches {
 		if !now.Before(s.deadline) {
-			b.expireSearch(now, id, s)
+			b.expireSearch(now, s)
 		}
 	}
 	b.serveWaiting(now)
--- a/io/relay/agent.go
+++ b/io/relay/agent.go
@@ -20,6 +20,8 @@
 	leaveWait = 150 * time.Millisecond
 	// busyWait bounds how long an agent that stops waits for answers under way.
 	busyWait = 1500 * time.Millisecond
+	// checkTimeout is how long the target's address has to accept a connection; both are on one machine.
+	checkTimeout = 500 * time.Millisecond
 	// busyPoll is the time between two looks at them.
 	busyPoll = 50 * time.Millisecond
 )
@@ -45,7 +47,7 @@
 	a := &Agent{node: n, settings: s, outbound: outbound}
 	a.gate = gate.New(time.Now(), gate.Settings{
 		Self: s.Internal, Service: s.Service, HeartbeatPeriod: s.HeartbeatPeriod, FlowAge: s.FlowAge,
-	}, gate.Actions{Send: n.send, Deliver: a.deliver, Reply: a.reply, Reset: a.reset, Note: n.notes.note, Answered: n.notes.answered})
+	}, gate.Actions{Check: a.check, Send: n.send, Deliver: a.deliver, Reply: a.reply, Reset: a.reset, Note: n.notes.note, Answered: n.notes.answered})
 	n.onRelay = a.gate.Receive
 	n.onPacket = a.packet
 	n.onTick = a.tick
@@ -97,7 +99,7 @@
 // onOwner runs f on the owner of the state and logs if it did not run.
 func (a *Agent) onOwner(ctx context.Context, f func(time.Time)) {
 	if err := a.call(ctx, f); err != nil {
-		a.log.Part("process").Warn("a step of the stop was left out", "error", errs.Text(err))
+		a.log.Part("process").Warn("a step was left out", "error", errs.Text(err))
 	}
 }
 
@@ -117,6 +119,22 @@
 	a.gate.SetBalancers(balancers(members))
 }
 
+// check finds out whether the target's address accepts connections. It runs beside the owner of the state.
+func (a *Agent) check() {
+	a.group.Task(func() {
+		ctx, cancel := context.WithTimeout(a.group.Context(), checkTimeout)
+		defer cancel()
+		var dialer net.Dialer
+		conn, err := dialer.DialContext(ctx, "tcp", a.settings.Target.String())
+		if err == nil {
+			_ = conn.Close()
+		}
+		if a.group.Context().Err() == nil {
+			a.onOwner(a.group.Context(), func(now time.Time) { a.gate.Checked(now, err == nil) })
+		}
+	})
+}
+
 func (a *Agent) deliver(packet []byte) { a.write(a.outbound, a.settings.Target, packet) }
 
 func (a *Agent) reply(client state.End, packet []byte) {
