--- a/core/coord/gate/gate.go
+++ b/core/coord/gate/gate.go
@@ -155,10 +155,15 @@
 	}
 }
 
-// SetBalancers replaces the list of balancers. Flows whose owners changed are told to the new ones.
-func (g *Gate) SetBalancers(list []netip.AddrPort) {
+// SetBalancers replaces the list of balancers. New ones are told of the target, and new owners of their flows.
+func (g *Gate) SetBalancers(now time.Time, list []netip.AddrPort) {
 	before := g.owners
 	g.owners = relay.NewOwners(list)
+	for _, b := range list {
+		if !slices.Contains(before.All(), b) {
+			g.do.Send(b, g.load(now))
+		}
+	}
 	for id, f := range g.flows {
 		if f.phase != open {
 			continue
--- a/core/coord/gate/gate_test.go
+++ b/core/coord/gate/gate_test.go
@@ -68,7 +68,7 @@
 		Check:    func() { w.checks++ },
 		Answered: func(time.Duration) {},
 	})
-	w.g.SetBalancers([]netip.AddrPort{front, second})
+	w.g.SetBalancers(w.now, []netip.AddrPort{front, second})
 }
 
 func (w *world) beat(id string, born state.Millis, draining bool) gate.Verdict {
@@ -327,14 +327,17 @@
 
 func TestNewOwnersAreTold(t *testing.T) {
 	w := newWorld(t)
-	w.g.SetBalancers([]netip.AddrPort{front})
+	w.g.SetBalancers(w.now, []netip.AddrPort{front})
 	w.beat("t1", 1, false)
 	w.open(flow(1))
 	w.clear()
-	w.g.SetBalancers([]netip.AddrPort{front, second})
+	w.g.SetBalancers(w.now, []netip.AddrPort{front, second})
 	held := w.kinds(relay.KindHeld)
 	w.is.Equal(len(held), 1)
 	w.is.Equal(held[0].to, second)
+	load := w.kinds(relay.KindLoad)
+	w.is.Equal(len(load), 1) // the newcomer hears of the target at once
+	w.is.Equal(load[0].to, second)
 }
 
 func TestEndedFlowStaysForItsLastPackets(t *testing.T) {
--- a/core/coord/gate/tick.go
+++ b/core/coord/gate/tick.go
@@ -51,12 +51,22 @@
 
 // report tells every balancer how busy the target is.
 func (g *Gate) report(now time.Time) {
-	period := max(reportPeriod, time.Duration(len(g.owners.All()))*time.Second/reportsPerSecond)
-	g.nextReport = now.Add(period)
+	g.nextReport = now.Add(g.reportPeriod())
 	g.lastReport = now
-	g.toldFull = g.room() == 0
+	m := g.load(now)
+	g.toldFull = m.Load.Room == 0
+	for _, b := range g.owners.All() {
+		g.do.Send(b, m)
+	}
+}
+
+func (g *Gate) reportPeriod() time.Duration {
+	return max(reportPeriod, time.Duration(len(g.owners.All()))*time.Second/reportsPerSecond)
+}
+
+func (g *Gate) load(now time.Time) relay.Message {
 	reason := g.refusal()
-	m := relay.Message{
+	return relay.Message{
 		Kind:    relay.KindLoad,
 		Service: g.settings.Service.ID(),
 		Load: relay.Load{
@@ -69,12 +79,9 @@
 			Slots:       g.target.slots,
 			ServiceTime: g.serviceTime,
 			Warmup:      max(0, g.target.warmUntil.Sub(now)),
-			Period:      period,
+			Period:      g.reportPeriod(),
 		},
 	}
-	for _, b := range g.owners.All() {
-		g.do.Send(b, m)
-	}
 }
 
 // Paused moves what was heard of the target forward by a pause of this process: the target's machine paused too, or its
--- a/core/coord/steer/search.go
+++ b/core/coord/steer/search.go
@@ -44,6 +44,8 @@
 	asked []*target
 	// denied are the targets that do not hold the flow.
 	denied []*target
+	// skipped are the targets whose agents were asked and are silent, if the flow's requests may be repeated.
+	skipped []*target
 	// agents is true once agents are asked, and no longer owners.
 	agents bool
 	// doubt is why the search was not concluded when all that were asked had denied the flow.
@@ -127,7 +129,7 @@
 func (b *Balancer) unasked(now time.Time, s *search) []*target {
 	var rest []*target
 	for _, t := range ranked(s.segment.Flow, b.holders(s.segment.Flow.Virtual)) {
-		if !slices.Contains(s.denied, t) && !slices.Contains(s.asked, t) && !t.lost(now) {
+		if !slices.Contains(s.denied, t) && !slices.Contains(s.asked, t) && !t.lost(now) && !slices.Contains(s.skipped, t) {
 			rest = append(rest, t)
 		}
 	}
@@ -182,7 +184,14 @@
 		b.askAgents(now, s)
 		return
 	}
-	s.asked = slices.DeleteFunc(s.asked, func(t *target) bool { return t.lost(now) })
+	ignoreSilent := b.config.Routes[s.segment.Flow.Virtual].Idempotent && b.hearsMost(now)
+	s.asked = slices.DeleteFunc(s.asked, func(t *target) bool {
+		if ignoreSilent && t.silent(now) {
+			s.skipped = append(s.skipped, t)
+			return true
+		}
+		return t.lost(now)
+	})
 	unanswered := len(s.asked) > 0 && len(b.unasked(now, s)) == 0
 	if now.Sub(s.since) > searchLimit || unanswered {
 		b.giveUp(now, s)
--- a/core/coord/steer/steer_test.go
+++ b/core/coord/steer/steer_test.go
@@ -395,6 +395,26 @@
 	}
 }
 
+// Pattern: all machines lost power, and one of them came back for a moment only. Its agent is known and never reports; the
+// flows that all others denied are not kept waiting for it.
+func TestSearchDoesNotWaitForASilentAgent(t *testing.T) {
+	w := newWorld(t)
+	c := config(1, service)
+	route := c.Routes[virtual]
+	route.Idempotent = true
+	c.Routes[virtual] = route
+	w.b.Configure(c)
+	w.members(1, 2, 3, 4)
+	w.pass(1500*time.Millisecond, 1, 2, 3)
+	w.b.Packet(w.now, data(flow(1)))
+	for n := range byte(3) {
+		w.notHeld(agent(n+1), flow(1), noPacket)
+	}
+	w.is.Equal(len(w.resets), 0)
+	w.pass(200*time.Millisecond, 1, 2, 3)
+	w.is.Equal(w.resets, []state.FlowID{flow(1)})
+}
+
 // A balancer that hears nobody is cut off itself.
 func TestNoResetWhenEverybodyIsSilent(t *testing.T) {
 	w := newWorld(t)
--- a/core/coord/steer/target.go
+++ b/core/coord/steer/target.go
@@ -76,11 +76,15 @@
 // silent reports whether the agent has stopped reporting, without having said that it stops: its machine is paused, cut
 // off or dead, which the membership finds out later.
 func (t *target) silent(now time.Time) bool {
-	if t.heardAt.IsZero() || t.health == state.HealthLeft || t.load.Reason == relay.ReasonStopping {
+	if t.health == state.HealthLeft || t.load.Reason == relay.ReasonStopping {
 		return false
 	}
+	since := t.heardAt
+	if since.IsZero() {
+		since = t.startedAt
+	}
 	limit := max(silenceLimit, time.Duration(silenceReports*float64(t.load.Period)))
-	return now.Sub(t.heardAt) > limit
+	return now.Sub(since) > limit
 }
 
 // takes reports whether the target may be given new flows.
--- a/io/relay/agent.go
+++ b/io/relay/agent.go
@@ -115,8 +115,8 @@
 	a.fleet.announcePhase(a.gate.Phase())
 }
 
-func (a *Agent) members(_ time.Time, members []state.Member) {
-	a.gate.SetBalancers(balancers(members))
+func (a *Agent) members(now time.Time, members []state.Member) {
+	a.gate.SetBalancers(now, balancers(members))
 }
 
 // check finds out whether the target's address accepts connections. It runs beside the owner of the state.
