--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 TOOLS := bin/gofumpt bin/goimports bin/staticcheck bin/revive
 export GOFLAGS := -mod=mod -buildvcs=false
 
-.PHONY: build demo test proofs fuzz bench-route bench-balance bench-control bench-flows lint format generate
+.PHONY: build demo test proofs soak fuzz bench-route bench-balance bench-control bench-flows lint format generate
 
 build:
 	$(GO) build -o bin/ ./cmd/monsoonstep ./test/stand
@@ -21,11 +21,22 @@
 proofs:
 	PROOFS_SCALE=4 $(GO) test -count=1 -v -timeout 60m ./test/proofs
 
+# The fault soak: the seeds that ever failed, then one seed for a minute. SEED and SECONDS change the latter.
+SEED ?= $(shell date +%s)
+SECONDS ?= 60
+soak:
+	SOAK_REGRESSIONS=1 $(GO) test -count=1 -v -timeout 20m -run Regressions ./platform/soak
+	SOAK_SEED=$(SEED) SOAK_SECONDS=$(SECONDS) $(GO) test -count=1 -v -timeout 20m -run Random ./platform/soak
+
 # A short run of each fuzz target, from the seeds in the code.
 fuzz:
 	$(GO) test -run '^$$' -fuzz FuzzParsePacket -fuzztime 20000x ./core/proto/connid
 	$(GO) test -run '^$$' -fuzz FuzzDecode -fuzztime 20000x ./core/proto/frame
 	$(GO) test -run '^$$' -fuzz FuzzDecodeEntry -fuzztime 20000x ./core/proto/wire
+	$(GO) test -run '^$$' -fuzz FuzzDecodeHops -fuzztime 20000x ./core/proto/hops
+	$(GO) test -run '^$$' -fuzz FuzzDecodePacket -fuzztime 20000x ./platform
+	$(GO) test -run '^$$' -fuzz FuzzDecodeHeartbeat -fuzztime 20000x ./platform
+	$(GO) test -run '^$$' -fuzz FuzzDecodeConfig -fuzztime 20000x ./platform
 
 bench-route bench-balance bench-control bench-flows:
 	$(GO) build -o bin/ ./test/bench
--- a/core/coord/dedup/owner.go
+++ b/core/coord/dedup/owner.go
@@ -5,6 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"monsoonstep/core/coord/rank"
 	"monsoonstep/core/state"
 )
 
@@ -99,15 +100,11 @@
 	return 2*present > len(settled)
 }
 
+// winner returns the index of the candidate that ranks first for a key.
 func winner(key Key, candidates []Candidate) int {
-	hash := xxhash.Sum64(key.ID[:])
-	best := 0
-	var bestScore uint64
-	for i, c := range candidates {
-		score := state.Mix(hash ^ c.ID.Hash())
-		if i == 0 || score > bestScore {
-			best, bestScore = i, score
-		}
+	hashes := make([]uint64, 0, len(candidates))
+	for _, c := range candidates {
+		hashes = append(hashes, c.ID.Hash())
 	}
-	return best
+	return rank.Top(xxhash.Sum64(key.ID[:]), hashes, 1)[0]
 }
--- a/core/coord/rank/rank.go
+++ b/core/coord/rank/rank.go
@@ -3,7 +3,11 @@
 // leaves moves only its own keys.
 package rank
 
-import "monsoonstep/core/state"
+import (
+	"slices"
+
+	"monsoonstep/core/state"
+)
 
 // Score is the rank of a candidate for a key; the highest wins.
 func Score(key, candidate uint64) uint64 { return state.Mix(key ^ candidate) }
@@ -23,7 +27,7 @@
 	found := -1
 	var high uint64
 	for i, candidate := range candidates {
-		if contains(taken, i) {
+		if slices.Contains(taken, i) {
 			continue
 		}
 		if score := Score(key, candidate); found < 0 || score > high {
@@ -32,12 +36,3 @@
 	}
 	return found
 }
-
-func contains(taken []int, index int) bool {
-	for _, t := range taken {
-		if t == index {
-			return true
-		}
-	}
-	return false
-}
--- a/core/coord/route/route.go
+++ b/core/coord/route/route.go
@@ -11,6 +11,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"monsoonstep/core/coord/rank"
 	"monsoonstep/core/proto/connid"
 	"monsoonstep/core/proto/keys"
 	"monsoonstep/core/state"
@@ -236,7 +237,7 @@
 	best := 0
 	var bestScore uint64
 	for i := range agents {
-		if score := state.Mix(hash ^ agents[i].hash); i == 0 || score > bestScore {
+		if score := rank.Score(hash, agents[i].hash); i == 0 || score > bestScore {
 			best, bestScore = i, score
 		}
 	}
--- /dev/null
+++ b/core/coord/steer/choose_test.go
@@ -0,0 +1,135 @@
+package steer_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"monsoonstep/core/coord/relay"
+	"monsoonstep/core/coord/steer"
+	"monsoonstep/core/state"
+)
+
+// A copy whose first packet was left unanswered is offered to another target: the agent or its link may be dead.
+func TestUnansweredOpeningGoesElsewhere(t *testing.T) {
+	w := newWorld(t)
+	w.settled(1, 2)
+	w.b.Packet(w.now, opens(flow(1), 0))
+	first, _ := w.last(relay.KindOpen)
+	w.now = w.now.Add(200 * time.Millisecond)
+	w.b.Packet(w.now, opens(flow(1), 1))
+	second, _ := w.last(relay.KindOpen)
+	w.is.True(second.to != first.to)
+}
+
+func TestRefusedOpeningGoesElsewhereThenToTheClient(t *testing.T) {
+	w := newWorld(t)
+	w.settled(1, 2)
+	w.b.Packet(w.now, opens(flow(1), 0))
+	for range 2 {
+		offered, _ := w.last(relay.KindOpen)
+		w.is.Equal(len(w.resets), 0)
+		w.b.Receive(w.now, offered.to, relay.Message{Kind: relay.KindRefused, Flow: flow(1), Reason: relay.ReasonDraining}, opens(flow(1), 0))
+	}
+	w.is.Equal(w.count(relay.KindOpen), 2)
+	w.is.Equal(w.resets, []state.FlowID{flow(1)}) // no target is left: the client is told at once
+}
+
+// Pattern: the same start. New flows wait for the configuration, and are refused in time for the client to come back.
+func TestNewFlowsWaitForTheFirstConfiguration(t *testing.T) {
+	w := newWorld(t)
+	w.members(1)
+	w.pass(100*time.Millisecond, 1)
+	w.b.Packet(w.now, opens(flow(1), 0))
+	w.is.Equal(w.count(relay.KindOpen), 0)
+	w.is.Equal(len(w.resets), 0)
+	w.b.Configure(config(1, service))
+	w.pass(steer.TickPeriod, 1)
+	w.is.Equal(w.count(relay.KindOpen), 1)
+
+	w = newWorld(t)
+	w.b.Packet(w.now, opens(flow(1), 0))
+	w.pass(1200 * time.Millisecond)
+	w.is.Equal(w.resets, []state.FlowID{flow(1)})
+}
+
+// Pattern: all agents were started again; each hears from its target within a heartbeat.
+func TestNewFlowsWaitForAgentsThatHaveJustStarted(t *testing.T) {
+	w := newWorld(t)
+	w.settled(1)
+	w.pass(5*time.Second, 1)
+	fresh := member(1, service, state.HealthAlive)
+	fresh.ID = state.NewInstanceID("agent-b", 99)
+	fresh.Phase = state.PhaseStarting
+	w.b.SetMembers(w.now, []state.Member{fresh})
+	w.clear()
+	w.b.Packet(w.now, opens(flow(1), 0))
+	w.is.Equal(len(w.resets), 0)
+	w.pass(600*time.Millisecond, 1)
+	w.is.Equal(w.count(relay.KindOpen), 1)
+}
+
+// Pattern: targets of unequal speed. New flows go where an answer is expected first.
+func TestFasterAndIdlerTargetsGetMore(t *testing.T) {
+	w := newWorld(t)
+	w.settled(1, 2)
+	w.report(1, relay.Load{Takes: true, Room: 40, Slots: 4, ServiceTime: 80 * time.Millisecond, Period: time.Second})
+	w.report(2, relay.Load{Takes: true, Room: 40, Slots: 4, ServiceTime: 30 * time.Millisecond, Period: time.Second})
+	counts := map[netip.AddrPort]int{}
+	for n := range uint16(22) {
+		w.b.Packet(w.now, opens(flow(n), 0))
+		offered, _ := w.last(relay.KindOpen)
+		counts[offered.to]++
+	}
+	w.is.Equal(counts[agent(2)], 16) // 80:30 of 22
+}
+
+// Pattern: more new flows than the targets can take. Those that can still be answered in time go first, and each is
+// either offered or refused within the time that its client waits.
+func TestOverloadKeepsNewFlowsInTime(t *testing.T) {
+	w := newWorld(t)
+	w.b.Configure(configWith(func(r *state.Route) { r.Target = 250 * time.Millisecond }))
+	w.members(1)
+	w.report(1, relay.Load{Takes: true, Room: 0, Slots: 4, Period: time.Second})
+	w.b.Packet(w.now, opens(flow(1), 0))
+	w.b.Packet(w.now, opens(flow(2), 0))
+	w.now = w.now.Add(400 * time.Millisecond)
+	w.b.Packet(w.now, opens(flow(3), 0))
+	w.is.Equal(w.count(relay.KindOpen), 0)
+	w.is.Equal(len(w.resets), 0)
+	w.report(1, relay.Load{Takes: true, Room: 1, Slots: 4, Period: time.Second})
+	w.b.Tick(w.now)
+	offered, _ := w.last(relay.KindOpen)
+	w.is.Equal(offered.Flow, flow(3)) // the others are late already
+	w.is.Equal(w.count(relay.KindOpen), 1)
+	w.now = w.now.Add(700 * time.Millisecond)
+	w.report(1, relay.Load{Takes: true, Room: 0, Slots: 4, Period: time.Second})
+	w.b.Tick(w.now)
+	w.is.Equal(len(w.resets), 2)
+}
+
+// Pattern: the same. A flow that waits goes on as soon as an agent tells of room, not at the next tick.
+func TestRoomIsUsedAtOnce(t *testing.T) {
+	w := newWorld(t)
+	w.b.Configure(config(1, service))
+	w.members(1)
+	w.report(1, relay.Load{Takes: true, Room: 0, Slots: 4, Period: time.Second})
+	w.b.Packet(w.now, opens(flow(1), 0))
+	w.is.Equal(w.count(relay.KindOpen), 0)
+	w.report(1, relay.Load{Takes: true, Room: 1, Slots: 4, Period: time.Second})
+	w.is.Equal(w.count(relay.KindOpen), 1)
+}
+
+func TestSilentOrLeavingTargetsGetNothing(t *testing.T) {
+	w := newWorld(t)
+	w.settled(1, 2, 3)
+	w.report(2, relay.Load{Takes: false, Reason: relay.ReasonDraining, Period: 200 * time.Millisecond})
+	w.pass(time.Second, 3) // 1 is silent, and 2 does not take back what it said
+	w.clear()
+	for n := range uint16(20) {
+		w.b.Packet(w.now, opens(flow(n), 0))
+	}
+	for _, s := range w.sent {
+		w.is.Equal(s.to, agent(3))
+	}
+}
--- /dev/null
+++ b/core/coord/steer/lost_test.go
@@ -0,0 +1,72 @@
+package steer_test
+
+import (
+	"testing"
+	"time"
+
+	"monsoonstep/core/coord/relay"
+	"monsoonstep/core/state"
+)
+
+func TestFlowsOfADeadAgentAreReset(t *testing.T) {
+	w := newWorld(t)
+	w.settled(1, 2)
+	w.held(agent(1), agent(1), flow(1))
+	w.b.SetMembers(w.now, []state.Member{member(1, service, state.HealthDead), member(2, service, state.HealthAlive)})
+	w.b.Packet(w.now, data(flow(1)))
+	w.is.Equal(len(w.resets), 0) // it was heard a moment ago
+	w.pass(3*time.Second, 2)
+	w.b.Packet(w.now, data(flow(1)))
+	w.is.Equal(w.resets, []state.FlowID{flow(1)})
+}
+
+// Pattern: a machine is paused with open flows. Requests that may be repeated are sent elsewhere by their callers; others
+// may still be answered, and are left.
+func TestFlowsOfASilentAgentAreResetIfRepeatable(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		w := newWorld(t)
+		w.b.Configure(configWith(func(r *state.Route) { r.Idempotent = idempotent }))
+		w.settled(1, 2, 3, 4, 5)
+		w.held(agent(1), agent(1), flow(1))
+		w.pass(800*time.Millisecond, 2, 3, 4, 5)
+		w.b.Packet(w.now, data(flow(1)))
+		w.is.Equal(len(w.resets), 0) // a process that was killed is not back yet
+		w.pass(400*time.Millisecond, 2, 3, 4, 5)
+		w.b.Packet(w.now, data(flow(1)))
+		w.is.Equal(len(w.resets) == 1, idempotent)
+	}
+}
+
+// A balancer that hears nobody is cut off itself.
+func TestNoResetWhenEverybodyIsSilent(t *testing.T) {
+	w := newWorld(t)
+	w.b.Configure(configWith(func(r *state.Route) { r.Idempotent = true }))
+	w.settled(1, 2, 3, 4, 5)
+	w.held(agent(1), agent(1), flow(1))
+	w.pass(2*time.Second, 2)
+	w.b.Packet(w.now, data(flow(1)))
+	w.is.Equal(len(w.resets), 0)
+}
+
+// An agent that left on purpose is started again beside the same target, which still holds the flows.
+func TestFlowsOfAStoppedAgentAreKept(t *testing.T) {
+	w := newWorld(t)
+	w.settled(1, 2)
+	w.held(agent(1), agent(1), flow(1))
+	w.b.SetMembers(w.now, []state.Member{member(1, service, state.HealthLeft), member(2, service, state.HealthAlive)})
+	w.pass(4*time.Second, 2)
+	w.b.Packet(w.now, data(flow(1)))
+	w.is.Equal(len(w.resets), 0)
+}
+
+func TestAddressThatWasReusedDoesNotInheritFlows(t *testing.T) {
+	w := newWorld(t)
+	w.settled(1, 2)
+	w.held(agent(1), agent(1), flow(1))
+	reused := member(1, other, state.HealthAlive)
+	reused.ID = state.NewInstanceID("agent-z", 500)
+	w.b.SetMembers(w.now, []state.Member{reused, member(2, service, state.HealthAlive)})
+	w.b.Packet(w.now, data(flow(1)))
+	w.is.Equal(w.count(relay.KindData), 0)
+	w.is.Equal(w.resets, []state.FlowID{flow(1)})
+}
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -16,5 +16,5 @@
 report "tags on types in core" "$(grep -nE '`(json|yaml|xml):' $(printf '%s\n' $files | grep '^core/' | grep -v '^core/proto/wire/') || true)"
 go vet ./... || bad=1
 bin/staticcheck ./... || bad=1
-bin/revive -config tools/revive.toml -set_exit_status ./core/... ./io/... ./cmd/... ./test/... || bad=1
+bin/revive -config tools/revive.toml -set_exit_status ./core/... ./io/... ./cmd/... ./platform/... ./test/... || bad=1
 exit $bad
