gate: only a refusal proves at once that a target is gone

A target whose queue of connections is full neither accepts nor refuses; taken for gone it would lose open flows.

--- a/core/coord/gate/gate.go
+++ b/core/coord/gate/gate.go
@@ -55,6 +55,8 @@
 	busyLimit = 10 * time.Second
 	// missedHeartbeats is how many heartbeats a target may miss before it is checked.
 	missedHeartbeats = 1.5
+	// silentHeartbeats is how many it may miss without answering a check before it counts as gone.
+	silentHeartbeats = 2.5
 	// reportPeriod is the time between load reports to a balancer in a small fleet.
 	reportPeriod = 200 * time.Millisecond
 	// roomReportGap is the least time between two reports when room comes free at a full target.
--- a/core/coord/gate/gate_test.go
+++ b/core/coord/gate/gate_test.go
@@ -232,10 +232,10 @@
 	w.is.Equal(w.checks, 0)
 	w.pass(2*time.Second, "", 0)
 	w.is.Equal(w.checks, 1)
-	w.g.Checked(w.now, true)
+	w.g.Checked(w.now, gate.Accepts)
 	w.is.Equal(len(w.resets), 0) // its heartbeats are late
 	w.pass(2*time.Second, "", 0)
-	w.g.Checked(w.now, false)
+	w.g.Checked(w.now, gate.Refuses)
 	w.is.Equal(w.resets, []state.FlowID{flow(1)})
 	w.clear()
 	w.receive(relay.KindOpen, syn(flow(2)))
@@ -246,7 +246,7 @@
 	w := newWorld(t)
 	w.pass(100*time.Millisecond, "", 0)
 	w.is.Equal(w.checks, 1) // at once: an agent may be stopped again within moments
-	w.g.Checked(w.now, false)
+	w.g.Checked(w.now, gate.Refuses)
 	w.receive(relay.KindOpen, syn(flow(2)))
 	w.is.Equal(w.kinds(relay.KindRefused)[0].Reason, relay.ReasonGone)
 	w.beat("t1", 1, false)
@@ -265,12 +265,25 @@
 	w.is.Equal(len(w.resets), 0)
 }
 
+// A target that neither accepts nor refuses may be busy; it is gone once it has been silent for longer.
+func TestUnansweredCheckIsNoProof(t *testing.T) {
+	w := newWorld(t)
+	w.beat("t1", 1, false)
+	w.open(flow(1))
+	w.pass(2*time.Second, "", 0)
+	w.g.Checked(w.now, gate.NoAnswer)
+	w.is.Equal(len(w.resets), 0)
+	w.pass(time.Second, "", 0)
+	w.g.Checked(w.now, gate.NoAnswer)
+	w.is.Equal(w.resets, []state.FlowID{flow(1)})
+}
+
 // A heartbeat that came while a check was under way is newer than what the check found.
 func TestFailedCheckDoesNotOutrankAHeartbeat(t *testing.T) {
 	w := newWorld(t)
 	w.beat("t1", 1, false)
 	w.open(flow(1))
-	w.g.Checked(w.now, false)
+	w.g.Checked(w.now, gate.Refuses)
 	w.is.Equal(len(w.resets), 0)
 }
 
--- a/core/coord/gate/target.go
+++ b/core/coord/gate/target.go
@@ -206,10 +206,28 @@
 	}
 }
 
-// Checked takes in whether the target's address accepted a connection. One that does not has no target.
-func (g *Gate) Checked(now time.Time, accepts bool) {
-	recent := g.target.known && now.Sub(g.target.heard) < g.settings.HeartbeatPeriod
-	if !accepts && !recent {
+// Finding is what a check of the target's address found.
+type Finding uint8
+
+// The findings.
+const (
+	// Accepts means that the address accepted a connection: the target runs.
+	Accepts Finding = iota
+	// Refuses means that nothing listens there.
+	Refuses
+	// NoAnswer means that the connection was neither accepted nor refused in time: the target may be busy.
+	NoAnswer
+)
+
+// Checked takes in what a check found. A target whose address refuses is gone; one that does not answer is gone once it
+// has been silent for longer.
+func (g *Gate) Checked(now time.Time, f Finding) {
+	t := &g.target
+	silent := now.Sub(t.heard)
+	period := float64(g.settings.HeartbeatPeriod)
+	switch {
+	case t.known && silent < g.settings.HeartbeatPeriod:
+	case f == Refuses, f == NoAnswer && silent > time.Duration(silentHeartbeats*period):
 		g.targetGone(now)
 	}
 }
--- a/io/relay/agent.go
+++ b/io/relay/agent.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/netip"
+	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -122,19 +124,29 @@
 // check finds out whether the target's address accepts connections. It runs beside the owner of the state.
 func (a *Agent) check() {
 	a.group.Task(func() {
-		ctx, cancel := context.WithTimeout(a.group.Context(), checkTimeout)
-		defer cancel()
-		var dialer net.Dialer
-		conn, err := dialer.DialContext(ctx, "tcp", a.settings.Target.String())
-		if err == nil {
-			_ = conn.Close()
-		}
+		found := a.dialTarget()
 		if a.group.Context().Err() == nil {
-			a.onOwner(a.group.Context(), func(now time.Time) { a.gate.Checked(now, err == nil) })
+			a.onOwner(a.group.Context(), func(now time.Time) { a.gate.Checked(now, found) })
 		}
 	})
 }
 
+func (a *Agent) dialTarget() gate.Finding {
+	ctx, cancel := context.WithTimeout(a.group.Context(), checkTimeout)
+	defer cancel()
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", a.settings.Target.String())
+	switch {
+	case err == nil:
+		_ = conn.Close()
+		return gate.Accepts
+	case errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET):
+		return gate.Refuses
+	default:
+		return gate.NoAnswer
+	}
+}
+
 func (a *Agent) deliver(packet []byte) { a.write(a.outbound, a.settings.Target, packet) }
 
 func (a *Agent) reply(client state.End, packet []byte) {
