steer, gate: what is gone is forgotten; parts that nobody used are removed

Found by reading: rows of agents that are gone, and services behind removed routes, stayed for ever (memory is to be bounded); Vouch and the health paths had no caller. Tests: gone agents are forgotten.

--- a/core/coord/gate/inbound.go
+++ b/core/coord/gate/inbound.go
@@ -31,13 +31,13 @@
 		reason = relay.ReasonMisdirected
 	}
 	if reason != relay.ReasonNone {
-		g.refuse(now, from, seg, reason)
+		g.refuse(now, from, m.Config, seg, reason)
 		return
 	}
 	g.objective = m.Target
 	if g.room() == 0 {
 		g.toldFull = true
-		g.refuse(now, from, seg, relay.ReasonFull)
+		g.refuse(now, from, m.Config, seg, relay.ReasonFull)
 		return
 	}
 	g.flows[seg.Flow] = &flow{phase: offered, balancer: from, since: now, last: now, busy: true, busySince: now}
@@ -58,10 +58,12 @@
 	return max(0, int(factor*float64(g.target.slots))-g.busy)
 }
 
-// refuse gives an opening packet back to its balancer.
-func (g *Gate) refuse(now time.Time, to netip.AddrPort, seg state.Segment, reason relay.Reason) {
+// refuse gives an opening packet back to its balancer. The version is that of the configuration under which it was
+// offered; zero if the target gave the packet back.
+func (g *Gate) refuse(now time.Time, to netip.AddrPort, version state.ConfigVersion, seg state.Segment, reason relay.Reason) {
 	g.do.Note(relay.Decision{
-		Event: relay.EventTurnedAway, Flow: seg.Flow, Peer: to, Reason: reason, Age: relay.AgeOf(now, g.target.heard),
+		Event: relay.EventTurnedAway, Flow: seg.Flow, Peer: to, Reason: reason, Config: version,
+		Age: relay.AgeOf(now, g.target.heard),
 	})
 	g.do.Send(to, relay.Message{Kind: relay.KindRefused, Flow: seg.Flow, Reason: reason, Packet: seg.Packet})
 }
--- a/core/coord/gate/outbound.go
+++ b/core/coord/gate/outbound.go
@@ -79,7 +79,7 @@
 			return
 		}
 		g.forget(seg.Flow, f)
-		g.refuse(now, balancer, seg, relay.ReasonFull)
+		g.refuse(now, balancer, 0, seg, relay.ReasonFull)
 		return
 	}
 	if f.phase == closed {
--- a/core/coord/gate/target.go
+++ b/core/coord/gate/target.go
@@ -80,10 +80,9 @@
 	return Taken
 }
 
-// isSame reports whether a heartbeat comes from the start of the target that the gate knows. A target that was
-// only vouched for has no time of birth yet.
+// isSame reports whether a heartbeat comes from the start of the target that the gate knows.
 func (t *target) isSame(h Heartbeat) bool {
-	return t.known && h.ID == t.id && (t.born == 0 || h.Born == t.born)
+	return t.known && h.ID == t.id && h.Born == t.born
 }
 
 // isEarlier reports whether a heartbeat that names another start comes from a former one. Ids decide where they can,
@@ -127,10 +126,6 @@
 // refresh takes in a heartbeat of the present target; served tells whether the gate offered a target before it.
 func (g *Gate) refresh(now time.Time, h Heartbeat, served bool) {
 	t := &g.target
-	if t.born == 0 {
-		t.born = h.Born
-		t.complete = t.complete || h.Sequence <= firstSequence
-	}
 	wasDraining := t.draining
 	age := relay.AgeOf(now, t.heard)
 	t.sequence = h.Sequence
@@ -149,16 +144,6 @@
 	}
 }
 
-// Vouch notes that the target answered a health check well and named itself, before its first heartbeat.
-func (g *Gate) Vouch(now time.Time, id TargetID) {
-	if g.target.known {
-		return
-	}
-	g.target = target{known: true, id: id, heard: now}
-	g.do.Note(relay.Decision{Event: relay.EventTargetReady, Peer: g.settings.Self})
-	g.report(now)
-}
-
 // Deregister notes that a target said that it ends. It reports whether it is the present one.
 func (g *Gate) Deregister(now time.Time, id TargetID) bool {
 	if !g.target.known || g.target.id != id {
--- a/core/coord/steer/lost_test.go
+++ b/core/coord/steer/lost_test.go
@@ -70,3 +70,16 @@
 	w.is.Equal(w.count(relay.KindData), 0)
 	w.is.Equal(w.resets, []state.FlowID{flow(1)})
 }
+
+// Addresses of machines that are long gone cost no memory.
+func TestGoneAgentsAreForgotten(t *testing.T) {
+	w := newWorld(t)
+	w.settled(1, 2)
+	gone := []state.Member{member(1, service, state.HealthDead), member(2, service, state.HealthAlive)}
+	w.b.SetMembers(w.now, gone)
+	w.is.Equal(len(w.b.Rows(w.now)), 2)
+	w.pass(flowAge+5*time.Second, 2)
+	w.is.Equal(len(w.b.Rows(w.now)), 1)
+	w.b.SetMembers(w.now, gone) // the membership remembers it for longer
+	w.is.Equal(len(w.b.Rows(w.now)), 1)
+}
--- a/core/coord/steer/steer.go
+++ b/core/coord/steer/steer.go
@@ -8,6 +8,7 @@
 package steer
 
 import (
+	"maps"
 	"net/netip"
 	"time"
 
@@ -38,8 +39,8 @@
 	settings Settings
 	do       Actions
 	config   state.Config
-	// served has every service that a configuration seen so far puts behind an address: flows stay where they are when a
-	// route changes.
+	// served has, for each address that has a route, every service that a configuration seen so far puts behind it: flows
+	// stay where they are when a route changes.
 	served map[state.End][]state.ServiceName
 	// targets holds the agents by address; one that was replaced at its address keeps its row.
 	targets map[netip.AddrPort]*target
@@ -95,6 +96,10 @@
 		return false
 	}
 	b.config = c
+	maps.DeleteFunc(b.served, func(end state.End, _ []state.ServiceName) bool {
+		_, routed := c.Routes[end]
+		return !routed
+	})
 	for end, route := range c.Routes {
 		for _, backend := range route.Backends {
 			b.served[end] = appendNew(b.served[end], backend.Service)
@@ -230,6 +235,9 @@
 			delete(b.flows, id)
 		}
 	}
+	maps.DeleteFunc(b.targets, func(_ netip.AddrPort, t *target) bool {
+		return !t.runs() && now.Sub(t.changedAt) > b.settings.FlowAge
+	})
 }
 
 // TickPeriod is the longest time between two ticks.
--- a/core/coord/steer/target.go
+++ b/core/coord/steer/target.go
@@ -92,9 +92,14 @@
 	return t.serves(now) && !now.Before(t.avoidUntil) && !now.Before(t.fullUntil) && (t.heardAt.IsZero() || t.load.Room > t.sent)
 }
 
+// runs reports whether the membership takes the agent for running.
+func (t *target) runs() bool {
+	return t.member && (t.health == state.HealthAlive || t.health == state.HealthSuspect)
+}
+
 // serves reports whether the target takes flows, if not at this moment.
 func (t *target) serves(now time.Time) bool {
-	if !t.member || t.health == state.HealthDead || t.health == state.HealthLeft {
+	if !t.runs() {
 		return false
 	}
 	if t.heardAt.IsZero() {
@@ -106,8 +111,7 @@
 
 // isStarting reports whether the agent runs, and started so recently that it may not have heard from its target.
 func (t *target) isStarting(now time.Time) bool {
-	running := t.health == state.HealthAlive || t.health == state.HealthSuspect
-	return t.member && running && t.phase == state.PhaseStarting && now.Sub(t.startedAt) < startTime
+	return t.runs() && t.phase == state.PhaseStarting && now.Sub(t.startedAt) < startTime
 }
 
 // SetMembers takes in the membership.
@@ -125,8 +129,9 @@
 		b.setMember(now, m)
 	}
 	for address, t := range b.targets {
-		if _, ok := newest[address]; !ok && t.member {
+		if _, ok := newest[address]; !ok && t.runs() {
 			t.health = state.HealthDead
+			t.changedAt = now
 		}
 	}
 }
@@ -142,6 +147,9 @@
 
 func (b *Balancer) setMember(now time.Time, m state.Member) {
 	t := b.targets[m.Flow]
+	if t == nil && !m.Present() {
+		return
+	}
 	if t == nil || t.service != m.Service {
 		t = b.replaceTarget(now, t, m)
 	}
@@ -253,7 +261,7 @@
 func (b *Balancer) hearsMost(now time.Time) bool {
 	heard, all := 0, 0
 	for _, t := range b.targets {
-		if !t.member || t.health == state.HealthDead || t.health == state.HealthLeft {
+		if !t.runs() {
 			continue
 		}
 		all++
--- a/core/state/flow.go
+++ b/core/state/flow.go
@@ -91,8 +91,6 @@
 	Version ConfigVersion
 	// Routes has at most one route for each virtual address.
 	Routes map[End]Route
-	// HealthPaths has the path of each service's health check.
-	HealthPaths map[ServiceName]string
 }
 
 // Choose returns the service of a route that a new flow goes to. The same flow gets the same answer on every
