--- /dev/null
+++ b/core/coord/steer/bench_test.go
@@ -0,0 +1,76 @@
+package steer_test
+
+import (
+	"net/netip"
+	"runtime"
+	"testing"
+	"time"
+
+	"monsoonstep/core/coord/relay"
+	"monsoonstep/core/coord/steer"
+	"monsoonstep/core/state"
+)
+
+// benchFlows is how many flows a balancer carries or owns at the size designed for: 70 new ones a second at 530 balancers,
+// three places each (the carrier and two owners), for a flow's age of 60 s.
+const benchFlows = 70 * 3 * 60
+
+func newBenchBalancer(agents int) *steer.Balancer {
+	b := steer.New(start, steer.Settings{Self: self, DataCentre: "a", FlowAge: flowAge}, steer.Actions{
+		Send:  func(netip.AddrPort, relay.Message) {},
+		Reset: func(state.FlowID, uint32) {},
+		Note:  func(relay.Decision) {},
+	})
+	b.Configure(config(1, service))
+	var members []state.Member
+	for n := range agents {
+		m := member(byte(n), service, state.HealthAlive)
+		m.Flow = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(n >> 8), byte(n)}), 7700)
+		members = append(members, m)
+	}
+	b.SetMembers(start, members)
+	for _, m := range members {
+		b.Receive(start, m.Flow, relay.Message{Kind: relay.KindLoad, Service: service.ID(), Load: relay.Load{
+			Takes: true, Room: 1 << 20, Slots: 4, Period: time.Second,
+		}}, state.Segment{})
+	}
+	return b
+}
+
+// BenchmarkOpen places new flows over 8 ranked targets of 200.
+func BenchmarkOpen(b *testing.B) {
+	balancer := newBenchBalancer(200)
+	for n := range b.N {
+		balancer.Packet(start, opens(flow(uint16(n)), 0))
+	}
+}
+
+// BenchmarkCarry carries packets of flows whose place is known.
+func BenchmarkCarry(b *testing.B) {
+	balancer := newBenchBalancer(200)
+	for n := range uint16(10_000) {
+		balancer.Packet(start, opens(flow(n), 0))
+	}
+	packet := data(flow(77))
+	b.ResetTimer()
+	for range b.N {
+		balancer.Packet(start, packet)
+	}
+}
+
+// BenchmarkPlaces measures the memory of the places at the size designed for.
+func BenchmarkPlaces(b *testing.B) {
+	var before, after runtime.MemStats
+	for range b.N {
+		balancer := newBenchBalancer(200)
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		for n := range uint16(benchFlows) {
+			balancer.Packet(start, opens(flow(n), 0))
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		runtime.KeepAlive(balancer)
+	}
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/benchFlows, "bytes/flow")
+}
