--- a/core/coord/steer/bench_test.go
+++ b/core/coord/steer/bench_test.go
@@ -15,6 +15,9 @@
 // three places each (the carrier and two owners), for a flow's age of 60 s.
 const benchFlows = 70 * 3 * 60
 
+// serviceAgents is how many of the agents serve the service that the flows are for; the others serve another one.
+const serviceAgents = 50
+
 func newBenchBalancer(agents int) *steer.Balancer {
 	b := steer.New(start, steer.Settings{Self: self, DataCentre: "a", FlowAge: flowAge}, steer.Actions{
 		Send:  func(netip.AddrPort, relay.Message) {},
@@ -25,23 +28,29 @@
 	var members []state.Member
 	for n := range agents {
 		m := member(byte(n), service, state.HealthAlive)
+		m.ID = state.NewInstanceID("agent", state.Millis(n))
+		if n >= serviceAgents {
+			m.Service = other
+		}
 		m.Flow = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(n >> 8), byte(n)}), 7700)
 		members = append(members, m)
 	}
 	b.SetMembers(start, members)
 	for _, m := range members {
-		b.Receive(start, m.Flow, relay.Message{Kind: relay.KindLoad, Service: service.ID(), Load: relay.Load{
+		b.Receive(start, m.Flow, relay.Message{Kind: relay.KindLoad, Service: m.Service.ID(), Load: relay.Load{
 			Takes: true, Room: 1 << 20, Slots: 4, Period: time.Second,
 		}}, state.Segment{})
 	}
 	return b
 }
 
-// BenchmarkOpen places new flows over 8 ranked targets of 200.
+// BenchmarkOpen places new flows over 8 ranked targets of 50, in a fleet of the size designed for.
 func BenchmarkOpen(b *testing.B) {
-	balancer := newBenchBalancer(200)
+	balancer := newBenchBalancer(5400)
 	for n := range b.N {
-		balancer.Packet(start, opens(flow(uint16(n)), 0))
+		f := flow(uint16(n))
+		f.Client.IP[1] = byte(n >> 16)
+		balancer.Packet(start, opens(f, 0))
 	}
 }
 
--- a/core/coord/steer/choose.go
+++ b/core/coord/steer/choose.go
@@ -85,13 +85,7 @@
 // choose returns the target with the least expected time to an answer among those of a service that rank first for the
 // flow and take flows, and how many were weighed.
 func (b *Balancer) choose(now time.Time, service state.ServiceName, flow state.FlowID, not []*target) (*target, int) {
-	var members []*target
-	for _, t := range b.targets {
-		if t.service == service {
-			members = append(members, t)
-		}
-	}
-	members = ranked(flow, members)
+	members := ranked(flow, slices.Clone(b.byService[service]))
 	for first := 0; first < len(members); first += choices {
 		best, weighed := b.cheapest(now, members[first:min(first+choices, len(members))], not)
 		if best != nil {
--- a/core/coord/steer/steer.go
+++ b/core/coord/steer/steer.go
@@ -44,6 +44,8 @@
 	served map[state.End][]state.ServiceName
 	// targets holds the agents by address; one that was replaced at its address keeps its row.
 	targets map[netip.AddrPort]*target
+	// byService holds the same targets by service.
+	byService map[state.ServiceName][]*target
 	// flows holds the place of each flow that this balancer carries or owns.
 	flows map[state.FlowID]*place
 	// searches holds the flows whose holder is being looked for.
@@ -82,11 +84,13 @@
 		do:       do,
 		served:   make(map[state.End][]state.ServiceName),
 		targets:  make(map[netip.AddrPort]*target),
-		flows:    make(map[state.FlowID]*place),
-		searches: make(map[state.FlowID]*search),
-		waiting:  make(map[state.FlowID]*opening),
-		asks:     bucket{tokens: asksBurst, last: now},
-		started:  now,
+
+		byService: make(map[state.ServiceName][]*target),
+		flows:     make(map[state.FlowID]*place),
+		searches:  make(map[state.FlowID]*search),
+		waiting:   make(map[state.FlowID]*opening),
+		asks:      bucket{tokens: asksBurst, last: now},
+		started:   now,
 	}
 }
 
@@ -238,6 +242,7 @@
 	maps.DeleteFunc(b.targets, func(_ netip.AddrPort, t *target) bool {
 		return !t.runs() && now.Sub(t.changedAt) > b.settings.FlowAge
 	})
+	b.indexTargets()
 }
 
 // TickPeriod is the longest time between two ticks.
--- a/core/coord/steer/target.go
+++ b/core/coord/steer/target.go
@@ -134,6 +134,15 @@
 			t.changedAt = now
 		}
 	}
+	b.indexTargets()
+}
+
+// indexTargets sorts the targets by service.
+func (b *Balancer) indexTargets() {
+	clear(b.byService)
+	for _, t := range b.targets {
+		b.byService[t.service] = append(b.byService[t.service], t)
+	}
 }
 
 // supersedes reports whether m is the later process of two at one address: one that runs goes before one that
@@ -209,16 +218,18 @@
 	return count
 }
 
-// holders returns the targets that may hold a flow to an address: all of them before the first configuration.
-// Those whose target is gone hold none.
+// holders returns the targets that may hold a flow to an address: all of them before the first configuration. Those
+// whose target is gone hold none.
 func (b *Balancer) holders(virtual state.End) []*target {
 	var found []*target
-	for _, t := range b.targets {
-		if t.load.Reason == relay.ReasonGone {
+	for service, targets := range b.byService {
+		if b.config.Version != 0 && !slices.Contains(b.served[virtual], service) {
 			continue
 		}
-		if b.config.Version == 0 || slices.Contains(b.served[virtual], t.service) {
-			found = append(found, t)
+		for _, t := range targets {
+			if t.load.Reason != relay.ReasonGone {
+				found = append(found, t)
+			}
 		}
 	}
 	return found
--- a/core/coord/steer/waiting.go
+++ b/core/coord/steer/waiting.go
@@ -47,8 +47,8 @@
 
 // anyServes reports whether a target of a service takes flows, if not at this moment.
 func (b *Balancer) anyServes(now time.Time, service state.ServiceName) bool {
-	for _, t := range b.targets {
-		if t.service == service && t.serves(now) {
+	for _, t := range b.byService[service] {
+		if t.serves(now) {
 			return true
 		}
 	}
@@ -59,10 +59,7 @@
 // none, or an agent of the service runs and has not heard from its target yet.
 func (b *Balancer) expects(now time.Time, service state.ServiceName) bool {
 	heard := false
-	for _, t := range b.targets {
-		if t.service != service {
-			continue
-		}
+	for _, t := range b.byService[service] {
 		if t.isStarting(now) {
 			return true
 		}
