--- a/io/relay/config.go
+++ b/io/node/config.go
@@ -1,4 +1,4 @@
-package relay
+package node
 
 import (
 	"context"
--- a/io/relay/settings.go
+++ b/io/node/settings.go
@@ -1,4 +1,4 @@
-// Package relay runs the processes that carry opaque flows: the balancer and the agent. Decisions are in
+// Package node runs the processes that carry opaque flows: the balancer and the agent. Decisions are in
 // core/coord/steer and core/coord/gate; here are the sockets, the clock and the duties around them.
 //
 // One duty owns all state of a process. The duties that read sockets hand it datagrams by a bounded ring, and
@@ -6,7 +6,7 @@
 //
 // What clients, targets and operators speak is met by function fields (Codec, ConfigSource), so that the package knows
 // no one's formats. Start reading at node.go.
-package relay
+package node
 
 import (
 	"context"
