--- a/core/coord/steer/waiting.go
+++ b/core/coord/steer/waiting.go
@@ -13,8 +13,6 @@
 	// waitLimit is how long a new flow waits for a configuration or a target; clients give up on an opening packet a
 	// little later.
 	waitLimit = time.Second
-	// waitShare is the part of its caller's timeout that a new flow may wait, so that the caller has time to come back.
-	waitShare = 3
 	// startTime is how long after its start a balancer expects targets to appear: their agents may have started with it
 	// and hear from their targets within a heartbeat.
 	startTime = 4 * time.Second
@@ -81,21 +79,13 @@
 		case ok && b.canServe(now, route, id):
 			delete(b.waiting, id)
 			b.place(now, route, o.segment, &place{since: now, waited: o.since})
-		case now.Sub(o.since) >= limitOf(route):
+		case now.Sub(o.since) >= waitLimit:
 			delete(b.waiting, id)
 			b.refuse(o.segment, o.reason, len(b.waiting))
 		}
 	}
 }
 
-// limitOf is how long a new flow of a route waits.
-func limitOf(route state.Route) time.Duration {
-	if route.Timeout <= 0 {
-		return waitLimit
-	}
-	return min(waitLimit, route.Timeout/waitShare)
-}
-
 // inOrder returns the flows that wait in the order in which they are served: those that can still be answered within their
 // latency objective before those that can't, so that a backlog does not make all later flows late too; then the
 // most urgent, then the oldest.
--- a/core/state/flow.go
+++ b/core/state/flow.go
@@ -84,8 +84,6 @@
 	Idempotent bool
 	// Target is the latency within which an answer is worth most.
 	Target time.Duration
-	// Timeout is how long callers wait for an answer; zero if unknown.
-	Timeout time.Duration
 }
 
 // Config is one version of the operator's configuration.
