node, steer, gate: unknown senders are greeted; a late acceptance moves no flow; no reset without any agent

Three faults, each traced before the change. 1. The new balancers knew only each other; the agents called their seeds 8 s later. Now a node that hears from one that it does not know calls it. 2. (the same) Without any agent known, no denial was needed for a reset. Now an agent of the service must be known. 3. A place that was confirmed stays unless its agent denies the flow, and an agent resets only flows that their clients have answered. Tests fail without each change.

--- a/core/coord/gate/gate.go
+++ b/core/coord/gate/gate.go
@@ -131,8 +131,12 @@
 	balancer netip.AddrPort
 	since    time.Time
 	last     time.Time
-	// acknowledged is what the client last acknowledged; a reset must carry a number near it.
+	// acknowledged is what the client last acknowledged, or what the target last sent if that is not known; a reset must
+	// carry a number near it.
 	acknowledged uint32
+	// answered is set once the client has answered the target, or the target has sent data: the flow is open, and not
+	// only offered.
+	answered bool
 	// busy is set from the opening, and from each request's first packet, to the first packet of an answer.
 	busy      bool
 	busySince time.Time
--- a/core/coord/gate/inbound.go
+++ b/core/coord/gate/inbound.go
@@ -102,6 +102,7 @@
 	f.last = now
 	if seg.Acknowledges {
 		f.acknowledged = seg.Acknowledged
+		f.answered = true
 	}
 	if seg.DataLen > 0 {
 		g.startRequest(now, f)
--- a/core/coord/gate/outbound.go
+++ b/core/coord/gate/outbound.go
@@ -34,6 +34,10 @@
 	if seg.DataLen > 0 {
 		g.endRequest(now, f)
 	}
+	if !f.answered {
+		f.acknowledged = seg.Sequence
+		f.answered = seg.DataLen > 0
+	}
 	if seg.Finishes {
 		f.finTarget = true
 	}
--- a/core/coord/gate/target.go
+++ b/core/coord/gate/target.go
@@ -165,10 +165,10 @@
 	g.report(now)
 }
 
-// dropAll resets every open flow towards its client.
+// dropAll resets every open flow towards its client. One that its client never answered may have opened elsewhere.
 func (g *Gate) dropAll(now time.Time) {
 	for id, f := range g.flows {
-		if f.phase == open {
+		if f.phase == open && f.answered {
 			g.do.Reset(id, f.acknowledged)
 			g.do.Note(relay.Decision{Event: relay.EventReset, Flow: id, Age: now.Sub(f.last)})
 		}
--- a/core/coord/steer/lost_test.go
+++ b/core/coord/steer/lost_test.go
@@ -83,3 +83,19 @@
 	w.b.SetMembers(w.now, gone) // the membership remembers it for longer
 	w.is.Equal(len(w.b.Rows(w.now)), 1)
 }
+
+// Pattern: an agent was paused with an opening packet in hand, and a copy has opened the flow elsewhere meanwhile.
+func TestLateAcceptanceDoesNotMoveAFlow(t *testing.T) {
+	w := newWorld(t)
+	w.settled(1, 2)
+	w.held(agent(1), agent(1), flow(1))
+	w.held(agent(2), agent(2), flow(1))
+	w.b.Packet(w.now, data(flow(1)))
+	carried, _ := w.last(relay.KindData)
+	w.is.Equal(carried.to, agent(1))
+	w.notHeld(agent(1), flow(1), "data") // the first was wrong
+	w.held(agent(2), agent(2), flow(1))
+	w.b.Packet(w.now, data(flow(1)))
+	carried, _ = w.last(relay.KindData)
+	w.is.Equal(carried.to, agent(2))
+}
--- a/core/coord/steer/receive.go
+++ b/core/coord/steer/receive.go
@@ -33,10 +33,16 @@
 	if t == nil || t.service.ID() != m.Service {
 		return
 	}
-	if p := b.flows[m.Flow]; p != nil {
+	p := b.flows[m.Flow]
+	switch {
+	case p != nil && p.confirmed && p.target != t && p.target.runs():
+		// A flow does not move. A late copy of the opening packet has opened it at a second target, which the client does
+		// not answer; if it is the first that is wrong, that one denies the flow.
+		return
+	case p != nil:
 		p.target = t
 		p.confirmed = true
-	} else {
+	default:
 		b.flows[m.Flow] = &place{target: t, since: now, confirmed: true}
 	}
 	if s, searching := b.searches[m.Flow]; searching {
--- a/core/coord/steer/search.go
+++ b/core/coord/steer/search.go
@@ -155,7 +155,7 @@
 // conclude ends a search in which all that were asked denied the flow. The client is told at once, or as soon as this
 // balancer can be sure that there is no agent that it has not heard of.
 func (b *Balancer) conclude(now time.Time, s *search) {
-	if doubt := b.doubt(now); doubt != relay.ReasonNone {
+	if doubt := b.doubt(now, s.segment.Flow.Virtual); doubt != relay.ReasonNone {
 		s.deadline = now.Add(doubtWait)
 		s.doubt = doubt
 		return
@@ -165,11 +165,11 @@
 }
 
 // doubt returns why denials by all known agents do not prove that nobody holds a flow.
-func (b *Balancer) doubt(now time.Time) relay.Reason {
+func (b *Balancer) doubt(now time.Time, virtual state.End) relay.Reason {
 	switch {
 	case b.config.Version == 0:
 		return relay.ReasonNotReady
-	case !b.complete:
+	case !b.complete || !b.knowsAgents(virtual):
 		return relay.ReasonIncomplete
 	case now.Sub(b.started) <= settleStart || now.Sub(b.lastArrival) <= settleTime:
 		return relay.ReasonUnsettled
@@ -178,6 +178,17 @@
 	}
 }
 
+// knowsAgents reports whether any agent is known whose target may serve an address. A balancer that knows none has lost
+// them, rather than they their flows.
+func (b *Balancer) knowsAgents(virtual state.End) bool {
+	for _, service := range b.served[virtual] {
+		if len(b.byService[service]) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // expireSearch goes on when answers stay out.
 func (b *Balancer) expireSearch(now time.Time, s *search) {
 	if !s.agents {
--- a/core/coord/steer/search_test.go
+++ b/core/coord/steer/search_test.go
@@ -179,3 +179,18 @@
 	w.notHeld(agent(2), flow(2), noPacket)
 	w.is.Equal(len(w.resets), 0) // without a configuration nothing is known well enough for a reset
 }
+
+// Pattern: all balancers lost power, and the agents did not. Until these are known nothing is given up.
+func TestNoResetWithoutAnyAgent(t *testing.T) {
+	w := newWorld(t)
+	w.b.Configure(config(1, service))
+	w.pass(3 * time.Second)
+	w.b.Packet(w.now, data(flow(1)))
+	w.pass(2 * time.Second)
+	w.is.Equal(len(w.resets), 0)
+	w.members(1)
+	w.pass(100*time.Millisecond, 1)
+	asked, ok := w.last(relay.KindAsk)
+	w.is.True(ok)
+	w.is.Equal(asked.to, agent(1))
+}
--- a/io/conf/conf.go
+++ b/io/conf/conf.go
@@ -251,12 +251,8 @@
 		_, err = LoadAgent(file)
 	case "operator":
 		_, err = LoadOperator(file)
-	case "relay-balancer":
-		_, err = LoadRelayBalancer(file)
-	case "relay-agent":
-		_, err = LoadRelayAgent(file)
 	default:
-		err = errs.New(errs.BadInput, "role %q is not one of balancer, agent, operator, relay-balancer, relay-agent", role)
+		err = errs.New(errs.BadInput, "role %q is not one of balancer, agent, operator", role)
 	}
 	return err
 }
--- a/io/conf/relay.go
+++ b/io/conf/relay.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"monsoonstep/core/errs"
 	"monsoonstep/core/state"
 )
 
@@ -64,6 +65,20 @@
 	return s, err
 }
 
+// CheckRelay reads a file as the settings of a role that carries opaque flows and returns what is wrong with it.
+func CheckRelay(role, file string) error {
+	var err error
+	switch role {
+	case "balancer":
+		_, err = LoadRelayBalancer(file)
+	case "agent":
+		_, err = LoadRelayAgent(file)
+	default:
+		err = errs.New(errs.BadInput, "role %q is not one of balancer, agent", role)
+	}
+	return err
+}
+
 func (r *reader) relay() Relay {
 	s := Relay{
 		Instance:        state.InstanceName(r.text("instance", true, instanceNames, instanceForm)),
--- a/io/node/fleet.go
+++ b/io/node/fleet.go
@@ -28,6 +28,8 @@
 	youngTime  = 2 * time.Second
 	// joinFanout is how many seeds are called at a time, drawn at random.
 	joinFanout = 3
+	// strangerGap is the least time between two calls to nodes that are not known.
+	strangerGap = 10 * time.Millisecond
 	// maxSeeds bounds the addresses that are called.
 	maxSeeds = 64
 	// configKey is the key of the record that tells the newest configuration and who has it.
@@ -44,6 +46,10 @@
 	started  time.Time
 	nextJoin time.Time
 	nextSync time.Time
+	// nextStranger is the earliest time of the next call to a node that is not known.
+	nextStranger time.Time
+	// known holds the addresses of the nodes that run.
+	known map[netip.AddrPort]struct{}
 	// alone is true while no other node is known.
 	alone bool
 	left  bool
@@ -59,7 +65,7 @@
 	row := state.Member{ID: state.NewInstanceID(s.Instance, state.Millis(started.UnixMilli())), Announcement: self}
 	machine := gossip.New(row, state.NewBook(), uint64(started.UnixNano()),
 		gossip.WithProbePeriod(probePeriod), gossip.WithSuspicion(suspicion), gossip.WithBytesPerSecond(gossipBytes))
-	return &fleet{machine: machine, seeds: s.Seeds, log: log, started: started, alone: true}
+	return &fleet{machine: machine, seeds: s.Seeds, log: log, started: started, alone: true, known: make(map[netip.AddrPort]struct{})}
 }
 
 func (f *fleet) tick(now time.Time) []gossip.Send {
@@ -108,7 +114,24 @@
 			f.log.Info("other nodes are known", "members", f.machine.Size())
 		}
 	}
-	return f.machine.Members(), true
+	members := f.machine.Members()
+	clear(f.known)
+	for _, m := range members {
+		if m.Present() {
+			f.known[m.Gossip] = struct{}{}
+		}
+	}
+	return members, true
+}
+
+// greet returns messages that introduce this node to one that is not known to run, but sends: either of them was started
+// again while the other was not looking.
+func (f *fleet) greet(now time.Time, from netip.AddrPort) []gossip.Send {
+	if _, known := f.known[from]; known || f.left || now.Before(f.nextStranger) {
+		return nil
+	}
+	f.nextStranger = now.Add(strangerGap)
+	return f.machine.Join([]netip.AddrPort{from})
 }
 
 // addSeeds adds addresses to call, at the next tick.
--- a/io/node/join.go
+++ b/io/node/join.go
@@ -81,7 +81,7 @@
 	pauses.InitialInterval = retryLeast
 	pauses.MaxInterval = retryMost
 	for ctx.Err() == nil {
-		if _, err := j.read(ctx); err != nil && errs.KindOf(err) != errs.NotFound {
+		if err := j.read(ctx); err != nil && errs.KindOf(err) != errs.NotFound {
 			j.log.Warn("the list of balancers could not be read", "error", errs.Text(err))
 			group.Sleep(ctx, pauses.NextBackOff())
 		} else {
@@ -95,27 +95,31 @@
 }
 
 // read reads the list and calls those on it.
-func (j *joiner) read(ctx context.Context) (state.Revision, error) {
+func (j *joiner) read(ctx context.Context) error {
 	limited, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	raw, revision, err := j.directory.Read(limited)
+	raw, _, err := j.directory.Read(limited)
 	if err != nil {
-		return 0, err
+		return err
 	}
 	listed, err := decodeList(raw)
 	if err != nil {
-		j.log.Warn("the list of balancers is not readable", "error", errs.Text(err))
-		return revision, nil
+		return err
 	}
-	return revision, j.n.call(ctx, func(time.Time) { j.n.fleet.addSeeds(listed) })
+	return j.n.call(ctx, func(time.Time) { j.n.fleet.addSeeds(listed) })
 }
 
 // publish is the duty that writes the list when it has changed. One balancer does so: the first in rank.
 func (j *joiner) publish(ctx context.Context) error {
-	var written []byte
+	var written []netip.AddrPort
 	for group.Sleep(ctx, steadyTime/2) {
 		list := j.due()
-		if list == nil || slices.Equal(list, written) {
+		if list == nil {
+			// Another balancer may write meanwhile.
+			written = nil
+			continue
+		}
+		if slices.Equal(list, written) {
 			continue
 		}
 		if err := j.write(ctx, list); err != nil {
@@ -129,7 +133,7 @@
 }
 
 // due returns the list to be written, or nil if it is another balancer's duty or the list still changes.
-func (j *joiner) due() []byte {
+func (j *joiner) due() []netip.AddrPort {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if len(j.balancers) == 0 || time.Since(j.changedAt) < steadyTime {
@@ -142,20 +146,25 @@
 	if j.balancers[rank.Top(listKey, hashes, 1)[0]] != j.n.settings.Internal {
 		return nil
 	}
-	return encodeList(j.balancers[:min(maxListed, len(j.balancers))])
+	return slices.Clone(j.balancers[:min(maxListed, len(j.balancers))])
 }
 
-func (j *joiner) write(ctx context.Context, list []byte) error {
+// write replaces the stored list if it differs. A conflict means that the read was stale, or that another balancer wrote.
+func (j *joiner) write(ctx context.Context, list []netip.AddrPort) error {
+	encoded, err := encodeList(list)
+	if err != nil {
+		return err
+	}
 	limited, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	stored, revision, err := j.directory.Read(limited)
 	if err != nil && errs.KindOf(err) != errs.NotFound {
 		return err
 	}
-	if slices.Equal(stored, list) {
+	if slices.Equal(stored, encoded) {
 		return nil
 	}
-	return j.directory.Write(limited, list, revision)
+	return j.directory.Write(limited, encoded, revision)
 }
 
 // listDocument is the list as it is stored.
@@ -163,16 +172,16 @@
 	Balancers []string `json:"balancers"`
 }
 
-func encodeList(balancers []netip.AddrPort) []byte {
+func encodeList(balancers []netip.AddrPort) ([]byte, error) {
 	var d listDocument
 	for _, b := range balancers {
 		d.Balancers = append(d.Balancers, b.String())
 	}
 	raw, err := json.Marshal(d)
 	if err != nil {
-		return nil
+		return nil, errs.Wrap(err, errs.Internal, "list of balancers can't be encoded")
 	}
-	return raw
+	return raw, nil
 }
 
 func decodeList(raw []byte) ([]netip.AddrPort, error) {
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -246,6 +246,9 @@
 	}
 	n.sendGossip(n.fleet.receive(now, from, m))
 	n.updateMembers(now)
+	if m.To != "" && m.To != n.fleet.machine.Self().ID {
+		n.sendGossip(n.fleet.greet(now, from))
+	}
 }
 
 func (n *node) handleRelay(now time.Time, from netip.AddrPort, packet []byte) {
@@ -261,6 +264,7 @@
 			return
 		}
 	}
+	n.sendGossip(n.fleet.greet(now, from))
 	n.onRelay(now, from, m, seg)
 }
 
