--- a/core/coord/gate/gate.go
+++ b/core/coord/gate/gate.go
@@ -137,6 +137,8 @@
 	// answered is set once the client has answered the target, or the target has sent data: the flow is open, and not
 	// only offered.
 	answered bool
+	// assumed is set while the flow counts as open only because the target has not returned a packet of it.
+	assumed bool
 	// busy is set from the opening, and from each request's first packet, to the first packet of an answer.
 	busy      bool
 	busySince time.Time
--- a/core/coord/gate/gate_test.go
+++ b/core/coord/gate/gate_test.go
@@ -345,6 +345,17 @@
 	w.is.Equal(held[0].Flow, flow(2))
 }
 
+// Pattern: an agent was started beside a target that crashes before its first check. The target returns nothing any more,
+// and what was asked for is not its own for that.
+func TestAssumedFlowIsNotReset(t *testing.T) {
+	w := newWorld(t)
+	w.receive(relay.KindAsk, data(flow(1)))
+	w.pass(200*time.Millisecond, "", 0)
+	w.receive(relay.KindData, data(flow(1)))
+	w.g.Checked(w.now, gate.Refuses)
+	w.is.Equal(len(w.resets), 0)
+}
+
 func TestRestartedGateLearnsFromWhatTheTargetSends(t *testing.T) {
 	w := newWorld(t)
 	w.sequence = 50
--- a/core/coord/gate/outbound.go
+++ b/core/coord/gate/outbound.go
@@ -28,6 +28,7 @@
 // follow keeps a flow's state in step with a packet of the target.
 func (g *Gate) follow(now time.Time, f *flow, seg state.Segment) {
 	f.last = now
+	f.assumed = false
 	if (f.phase == offered && seg.Opens) || (f.phase == probing && !seg.Resets) {
 		g.hold(now, f, seg.Flow)
 	}
--- a/core/coord/gate/target.go
+++ b/core/coord/gate/target.go
@@ -165,10 +165,11 @@
 	g.report(now)
 }
 
-// dropAll resets every open flow towards its client. One that its client never answered may have opened elsewhere.
+// dropAll resets every open flow towards its client. One that its client never answered, or that the target never sent a
+// packet of, may be open elsewhere.
 func (g *Gate) dropAll(now time.Time) {
 	for id, f := range g.flows {
-		if f.phase == open && f.answered {
+		if f.phase == open && f.answered && !f.assumed {
 			g.do.Reset(id, f.acknowledged)
 			g.do.Note(relay.Decision{Event: relay.EventReset, Flow: id, Age: now.Sub(f.last)})
 		}
--- a/core/coord/gate/tick.go
+++ b/core/coord/gate/tick.go
@@ -26,6 +26,7 @@
 		quiet := now.Sub(f.last)
 		switch {
 		case f.phase == probing && now.Sub(f.since) > probeWait:
+			f.assumed = true
 			g.hold(now, f, id)
 		case f.phase == offered && quiet > openWait:
 			g.forget(id, f)
--- a/core/coord/steer/search.go
+++ b/core/coord/steer/search.go
@@ -89,7 +89,7 @@
 	}
 }
 
-// askAgents asks every agent whose target may hold the flow, with the packet.
+// askAgents begins to ask the agents whose target may hold the flow, with the packet.
 func (b *Balancer) askAgents(now time.Time, s *search) {
 	s.owners = nil
 	if s.segment.Opens {
