--- a/core/coord/steer/lost_test.go
+++ b/core/coord/steer/lost_test.go
@@ -77,11 +77,11 @@
 	w.settled(1, 2)
 	gone := []state.Member{member(1, service, state.HealthDead), member(2, service, state.HealthAlive)}
 	w.b.SetMembers(w.now, gone)
-	w.is.Equal(len(w.b.Rows(w.now)), 2)
+	w.is.Equal(len(w.b.Summary(w.now).Targets), 2)
 	w.pass(flowAge+5*time.Second, 2)
-	w.is.Equal(len(w.b.Rows(w.now)), 1)
+	w.is.Equal(len(w.b.Summary(w.now).Targets), 1)
 	w.b.SetMembers(w.now, gone) // the membership remembers it for longer
-	w.is.Equal(len(w.b.Rows(w.now)), 1)
+	w.is.Equal(len(w.b.Summary(w.now).Targets), 1)
 }
 
 // Pattern: an agent was paused with an opening packet in hand, and a copy has opened the flow elsewhere meanwhile.
--- a/core/coord/steer/steer.go
+++ b/core/coord/steer/steer.go
@@ -10,6 +10,7 @@
 import (
 	"maps"
 	"net/netip"
+	"slices"
 	"time"
 
 	"monsoonstep/core/coord/relay"
@@ -106,21 +107,14 @@
 	})
 	for end, route := range c.Routes {
 		for _, backend := range route.Backends {
-			b.served[end] = appendNew(b.served[end], backend.Service)
+			if !slices.Contains(b.served[end], backend.Service) {
+				b.served[end] = append(b.served[end], backend.Service)
+			}
 		}
 	}
 	return true
 }
 
-func appendNew(list []state.ServiceName, name state.ServiceName) []state.ServiceName {
-	for _, known := range list {
-		if known == name {
-			return list
-		}
-	}
-	return append(list, name)
-}
-
 // Config returns the version in force.
 func (b *Balancer) Config() state.ConfigVersion { return b.config.Version }
 
@@ -250,9 +244,3 @@
 
 // sweepPeriod is the time between two sweeps of old places.
 const sweepPeriod = 2 * time.Second
-
-// Flows returns how many places are known.
-func (b *Balancer) Flows() int { return len(b.flows) }
-
-// Searches returns how many flows are being looked for.
-func (b *Balancer) Searches() int { return len(b.searches) }
--- a/core/coord/steer/target.go
+++ b/core/coord/steer/target.go
@@ -256,8 +256,25 @@
 	Sent    int
 }
 
-// Rows returns what is known of all targets.
-func (b *Balancer) Rows(now time.Time) []Row {
+// Summary is what a balancer knows, for people.
+type Summary struct {
+	Config state.ConfigVersion
+	// Flows is how many places are known, Searches how many flows are looked for, Waiting how many new flows wait.
+	Flows    int
+	Searches int
+	Waiting  int
+	Targets  []Row
+}
+
+// Summary returns what the balancer knows.
+func (b *Balancer) Summary(now time.Time) Summary {
+	return Summary{
+		Config: b.config.Version, Flows: len(b.flows), Searches: len(b.searches), Waiting: len(b.waiting), Targets: b.rows(now),
+	}
+}
+
+// rows returns what is known of all targets.
+func (b *Balancer) rows(now time.Time) []Row {
 	rows := make([]Row, 0, len(b.targets))
 	for _, t := range b.targets {
 		rows = append(rows, Row{
--- a/io/conf/reader.go
+++ b/io/conf/reader.go
@@ -62,7 +62,11 @@
 	for _, p := range problems {
 		lines = append(lines, "  "+p.String())
 	}
-	return errs.New(errs.BadSettings, "settings file %s has %d problems:\n%s", file, len(problems), strings.Join(lines, "\n"))
+	plural := "s"
+	if len(lines) == 1 {
+		plural = ""
+	}
+	return errs.New(errs.BadSettings, "settings file %s has %d problem%s:\n%s", file, len(lines), plural, strings.Join(lines, "\n"))
 }
 
 func syntaxHint(raw []byte) string {
--- a/io/conf/relay.go
+++ b/io/conf/relay.go
@@ -1,6 +1,8 @@
 package conf
 
 import (
+	"encoding/json"
+	"fmt"
 	"net/netip"
 	"time"
 
@@ -49,7 +51,11 @@
 // LoadRelayBalancer reads the settings of a balancer for opaque flows.
 func LoadRelayBalancer(file string) (Relay, error) {
 	var s Relay
-	err := load(file, func(r *reader) { s = r.relay() })
+	err := load(file, func(r *reader) {
+		s = r.relay()
+		r.distinct("internalAddress", "adminAddress", "readyAddress")
+		r.distinct("internalAddress", "packetAddress")
+	})
 	return s, err
 }
 
@@ -59,8 +65,10 @@
 	err := load(file, func(r *reader) {
 		s.Relay = r.relay()
 		s.Service = state.ServiceName(r.text("service", true, serviceNames, placeForm))
-		s.Target = r.address("targetAddress", true)
-		s.Outbound = r.address("outboundAddress", true)
+		s.Target = r.ipv4("targetAddress")
+		s.Outbound = r.ipv4("outboundAddress")
+		r.distinct("internalAddress", "adminAddress", "readyAddress", "controlAddress", "targetAddress")
+		r.distinct("internalAddress", "outboundAddress", "targetAddress")
 	})
 	return s, err
 }
@@ -84,13 +92,13 @@
 		Instance:        state.InstanceName(r.text("instance", true, instanceNames, instanceForm)),
 		DataCentre:      state.DataCentre(r.text("dataCentre", true, placeNames, placeForm)),
 		Region:          state.Region(r.text("region", true, placeNames, placeForm)),
-		Internal:        r.address("internalAddress", true),
-		Packets:         r.address("packetAddress", true),
-		Admin:           r.address("adminAddress", true),
-		Ready:           r.address("readyAddress", true),
-		Control:         r.address("controlAddress", true),
+		Internal:        r.ipv4("internalAddress"),
+		Packets:         r.ipv4("packetAddress"),
+		Admin:           r.ipv4("adminAddress"),
+		Ready:           r.ipv4("readyAddress"),
+		Control:         r.ipv4("controlAddress"),
 		Seeds:           r.addresses("seeds", false),
-		Store:           r.address("storeAddress", true),
+		Store:           r.ipv4("storeAddress"),
 		HeartbeatPeriod: r.millis("heartbeatMillis", time.Second, 50*time.Millisecond, time.Minute),
 		FlowAge:         r.seconds("flowAgeSeconds", time.Minute, time.Second, 24*time.Hour),
 		Grace:           r.seconds("graceSeconds", 5*time.Second, 0, 10*time.Minute),
@@ -101,3 +109,29 @@
 	}
 	return s
 }
+
+// ipv4 reads an address that packets carry, or that shares a machine with one that they do.
+func (r *reader) ipv4(key string) netip.AddrPort {
+	a := r.address(key, true)
+	if a.IsValid() && !a.Addr().Is4() {
+		r.report(key, a.String(), "an IPv4 number and a port: packets carry addresses of four bytes")
+	}
+	return a
+}
+
+// distinct checks that no two keys that are listened on by the same protocol hold the same address.
+func (r *reader) distinct(keys ...string) {
+	seen := make(map[string]string)
+	for _, key := range keys {
+		var text string
+		if json.Unmarshal(r.fields[key], &text) != nil {
+			// The key is missing or no text, which its own check reports.
+			continue
+		}
+		if other, taken := seen[text]; taken {
+			r.report(key, fmt.Sprintf("%q", text), "another address than "+other)
+			continue
+		}
+		seen[text] = key
+	}
+}
--- a/io/ctrl/dump.go
+++ b/io/ctrl/dump.go
@@ -4,20 +4,22 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"monsoonstep/io/admin"
 )
 
 // Dump is what a process tells of its control state on request.
 type Dump struct {
-	Instance   string        `json:"instance"`
-	Process    string        `json:"process"`
-	Joined     bool          `json:"joined"`
-	Lapsed     bool          `json:"lapsed"`
-	Revision   int64         `json:"catalogueRevision"`
-	PolledAt   string        `json:"platformReadAt"`
-	Generation int           `json:"keyGeneration"`
-	Services   []ServiceDump `json:"services"`
-	Drained    []string      `json:"drained"`
-	Members    []MemberDump  `json:"members"`
+	Instance   string             `json:"instance"`
+	Process    string             `json:"process"`
+	Joined     bool               `json:"joined"`
+	Lapsed     bool               `json:"lapsed"`
+	Revision   int64              `json:"catalogueRevision"`
+	PolledAt   string             `json:"platformReadAt"`
+	Generation int                `json:"keyGeneration"`
+	Services   []ServiceDump      `json:"services"`
+	Drained    []string           `json:"drained"`
+	Members    []admin.MemberDump `json:"members"`
 }
 
 // ServiceDump is one entry of the catalogue.
@@ -30,20 +32,6 @@
 	Agents  int    `json:"agentsTakingFlows"`
 }
 
-// MemberDump is one member of the fleet.
-type MemberDump struct {
-	ID          string `json:"id"`
-	Role        string `json:"role"`
-	Service     string `json:"service,omitempty"`
-	DataCentre  string `json:"dataCentre"`
-	Region      string `json:"region"`
-	Health      string `json:"health"`
-	Phase       string `json:"phase"`
-	Incarnation uint64 `json:"incarnation"`
-	Slots       int    `json:"slots,omitempty"`
-	Flow        string `json:"flowAddress"`
-}
-
 // Dump returns the control state.
 func (n *Node) Dump() Dump {
 	v := n.View()
@@ -56,6 +44,7 @@
 		Generation: int(v.Keys.Newest().Number),
 		Services:   []ServiceDump{},
 		Drained:    []string{},
+		Members:    admin.DumpMembers(v.Members),
 	}
 	if at := n.polled.Load(); at != 0 {
 		d.PolledAt = time.UnixMilli(at).UTC().Format(time.RFC3339Nano)
@@ -73,22 +62,7 @@
 	for name := range v.Drained {
 		d.Drained = append(d.Drained, string(name))
 	}
-	for _, m := range v.Members {
-		d.Members = append(d.Members, MemberDump{
-			ID:          string(m.ID),
-			Role:        m.Role.String(),
-			Service:     string(m.Service),
-			DataCentre:  string(m.DataCentre),
-			Region:      string(m.Region),
-			Health:      m.Health.String(),
-			Phase:       m.Phase.String(),
-			Incarnation: uint64(m.Incarnation),
-			Slots:       m.Slots,
-			Flow:        m.Flow.String(),
-		})
-	}
 	slices.SortFunc(d.Services, func(a, b ServiceDump) int { return cmp.Compare(a.Service, b.Service) })
 	slices.Sort(d.Drained)
-	slices.SortFunc(d.Members, func(a, b MemberDump) int { return cmp.Compare(a.ID, b.ID) })
 	return d
 }
--- a/io/node/agent.go
+++ b/io/node/agent.go
@@ -98,13 +98,6 @@
 	a.onOwner(ctx, func(time.Time) { a.sendGossip(a.fleet.leave()) })
 }
 
-// onOwner runs f on the owner of the state and logs if it did not run.
-func (a *Agent) onOwner(ctx context.Context, f func(time.Time)) {
-	if err := a.call(ctx, f); err != nil {
-		a.log.Part("process").Warn("a step was left out", "error", errs.Text(err))
-	}
-}
-
 func (a *Agent) packet(now time.Time, _ source, seg state.Segment) {
 	if seg.Returned {
 		a.codec.Restore(seg.Packet)
@@ -156,32 +149,3 @@
 func (a *Agent) reset(flow state.FlowID, sequence uint32) {
 	a.reply(flow.Client, a.codec.Reset(flow, sequence))
 }
-
-// AgentDump is an agent's state for people.
-type AgentDump struct {
-	Member  state.Member
-	Gate    gate.Summary
-	Members []state.Member
-	Stopped bool
-	// Error tells why the rest is missing.
-	Error string
-}
-
-// Dump returns the state.
-func (a *Agent) Dump() AgentDump {
-	ctx, cancel := context.WithTimeout(a.group.Context(), dumpTimeout)
-	defer cancel()
-	var d AgentDump
-	err := a.call(ctx, func(now time.Time) {
-		d = AgentDump{
-			Member:  a.fleet.machine.Self(),
-			Gate:    a.gate.Summary(now),
-			Members: a.fleet.machine.Members(),
-			Stopped: a.stopped.Load(),
-		}
-	})
-	if err != nil {
-		return AgentDump{Error: errs.Text(err)}
-	}
-	return d
-}
--- a/io/node/balancer.go
+++ b/io/node/balancer.go
@@ -96,9 +96,7 @@
 			return
 		}
 	}
-	if err := b.call(ctx, func(time.Time) { b.sendGossip(b.fleet.leave()) }); err != nil {
-		b.log.Part("process").Warn("the fleet was not told of the end", "error", errs.Text(err))
-	}
+	b.onOwner(ctx, func(time.Time) { b.sendGossip(b.fleet.leave()) })
 }
 
 func (b *Balancer) packet(now time.Time, _ source, seg state.Segment) {
@@ -131,41 +129,3 @@
 func (b *Balancer) clientPort() uint16 {
 	return b.clients.LocalAddr().(*net.UDPAddr).AddrPort().Port()
 }
-
-// Dump is a balancer's state for people.
-type Dump struct {
-	Member  state.Member
-	Config  state.ConfigVersion
-	Flows   int
-	Waiting int
-	Targets []steer.Row
-	Members []state.Member
-	Stopped bool
-	// Error tells why the rest is missing.
-	Error string
-}
-
-// dumpTimeout is how long the owner of the state has to answer.
-const dumpTimeout = 2 * time.Second
-
-// Dump returns the state.
-func (b *Balancer) Dump() Dump {
-	ctx, cancel := context.WithTimeout(b.group.Context(), dumpTimeout)
-	defer cancel()
-	var d Dump
-	err := b.call(ctx, func(now time.Time) {
-		d = Dump{
-			Member:  b.fleet.machine.Self(),
-			Config:  b.steer.Config(),
-			Flows:   b.steer.Flows(),
-			Waiting: b.steer.Searches(),
-			Targets: b.steer.Rows(now),
-			Members: b.fleet.machine.Members(),
-			Stopped: b.stopped.Load(),
-		}
-	})
-	if err != nil {
-		return Dump{Error: errs.Text(err)}
-	}
-	return d
-}
--- a/io/node/config.go
+++ b/io/node/config.go
@@ -10,8 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
-
 	"monsoonstep/core/coord/rank"
 	"monsoonstep/core/coord/relay"
 	"monsoonstep/core/errs"
@@ -33,10 +31,8 @@
 	readTimeout = 1500 * time.Millisecond
 	// idleRead is the time between two looks whether this balancer should watch.
 	idleRead = time.Second
-	// retryLeast and retryMost bound the pause after a failed call; retryFirst is the most while there is no
-	// configuration at all, because new flows wait for it.
-	retryLeast = 150 * time.Millisecond
-	retryMost  = 2 * time.Second
+	// retryFirst is the longest pause after a failed call while there is no configuration at all, because new flows wait
+	// for it.
 	retryFirst = 400 * time.Millisecond
 	// fetchTimeout is the time of one fetch from another balancer.
 	fetchTimeout = time.Second
@@ -119,9 +115,7 @@
 
 // watch is the duty that reads the store.
 func (k *configKeeper) watch(ctx context.Context) error {
-	pauses := backoff.NewExponentialBackOff()
-	pauses.InitialInterval = retryLeast
-	pauses.MaxInterval = retryMost
+	pauses := newPauses()
 	revision := state.Revision(0)
 	for ctx.Err() == nil {
 		if revision != 0 && !k.watches() {
--- a/io/node/join.go
+++ b/io/node/join.go
@@ -8,8 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
-
 	"monsoonstep/core/coord/rank"
 	"monsoonstep/core/coord/relay"
 	"monsoonstep/core/errs"
@@ -77,9 +75,7 @@
 
 // find is the duty that reads the list at the start, and again while no other node is known.
 func (j *joiner) find(ctx context.Context) error {
-	pauses := backoff.NewExponentialBackOff()
-	pauses.InitialInterval = retryLeast
-	pauses.MaxInterval = retryMost
+	pauses := newPauses()
 	for ctx.Err() == nil {
 		if err := j.read(ctx); err != nil && errs.KindOf(err) != errs.NotFound {
 			j.log.Warn("the list of balancers could not be read", "error", errs.Text(err))
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -307,3 +307,10 @@
 		return errs.Wrap(ctx.Err(), errs.OutcomeUnknown, "the process is busy")
 	}
 }
+
+// onOwner runs f on the owner of the state and logs if it did not run.
+func (n *node) onOwner(ctx context.Context, f func(time.Time)) {
+	if err := n.call(ctx, f); err != nil {
+		n.log.Part("process").Warn("a step was left out", "error", errs.Text(err))
+	}
+}
--- a/io/node/settings.go
+++ b/io/node/settings.go
@@ -51,8 +51,7 @@
 	// FlowAge is how long a flow may be open.
 	FlowAge time.Duration
 	// Grace is how long the process may go on after it was asked to stop.
-	Grace    time.Duration
-	LogLevel string
+	Grace time.Duration
 }
 
 // BalancerSettings are the settings of a balancer.
--- a/test/fleet/process.go
+++ b/test/fleet/process.go
@@ -122,7 +122,7 @@
 
 // Build builds the programs into a directory.
 func Build(root, dir string) error {
-	for _, program := range []string{"./cmd/monsoonstep", "./test/stand"} {
+	for _, program := range []string{"./cmd/monsoonstep", "./cmd/monsoonstep-node", "./test/stand"} {
 		cmd := exec.Command("go", "build", "-o", filepath.Join(dir, filepath.Base(program)), program)
 		cmd.Dir = root
 		if out, err := cmd.CombinedOutput(); err != nil {
