node, steer: changes of members and silent agents are logged

Ruled out: a line a member and change: a start of 530 balancers and 5,400 agents would fill the log's bound for 10 s. Change: one line an update with the numbers and at most 8 names; agentSilent and agentHeard once each.

--- a/core/coord/relay/decision.go
+++ b/core/coord/relay/decision.go
@@ -42,6 +42,10 @@
 	EventTargetDraining
 	// EventTargetGone: an agent's target has ended or fallen silent.
 	EventTargetGone
+	// EventAgentSilent: a balancer heard no load report of an agent for too long.
+	EventAgentSilent
+	// EventAgentHeard: a balancer heard from an agent again that had been silent.
+	EventAgentHeard
 	// EventCount is the number of events.
 	EventCount
 )
@@ -50,7 +54,7 @@
 func (e Event) String() string {
 	names := [EventCount]string{
 		"placed", "refused", "noRoute", "reset", "search", "found", "doubted", "accepted", "turnedAway", "notHeld",
-		"adopted", "ended", "targetReady", "targetDraining", "targetGone",
+		"adopted", "ended", "targetReady", "targetDraining", "targetGone", "agentSilent", "agentHeard",
 	}
 	if e >= EventCount {
 		return "unknown"
--- a/core/coord/steer/lost_test.go
+++ b/core/coord/steer/lost_test.go
@@ -99,3 +99,17 @@
 	carried, _ = w.last(relay.KindData)
 	w.is.Equal(carried.to, agent(2))
 }
+
+// Whoever reads the log sees when an agent fell silent and when it was heard again, once each.
+func TestSilenceOfAnAgentIsNotedOnce(t *testing.T) {
+	w := newWorld(t)
+	w.settled(1, 2, 3)
+	w.pass(5*time.Second, 2, 3)
+	w.pass(time.Second, 1, 2, 3)
+	var events []relay.Event
+	for _, d := range w.notes {
+		w.is.Equal(d.Peer, agent(1))
+		events = append(events, d.Event)
+	}
+	w.is.Equal(events, []relay.Event{relay.EventAgentSilent, relay.EventAgentHeard})
+}
--- a/core/coord/steer/steer.go
+++ b/core/coord/steer/steer.go
@@ -62,6 +62,7 @@
 	// lastArrival is when an agent was last heard of for the first time.
 	lastArrival time.Time
 	nextSweep   time.Time
+	nextLook    time.Time
 }
 
 // place is where a flow is thought to be.
@@ -224,6 +225,10 @@
 		}
 	}
 	b.serveWaiting(now)
+	if !now.Before(b.nextLook) {
+		b.nextLook = now.Add(lookPeriod)
+		b.noteSilence(now)
+	}
 	if now.Before(b.nextSweep) {
 		return
 	}
@@ -242,5 +247,8 @@
 // TickPeriod is the longest time between two ticks.
 const TickPeriod = 50 * time.Millisecond
 
+// lookPeriod is the time between two looks for agents that have fallen silent.
+const lookPeriod = 500 * time.Millisecond
+
 // sweepPeriod is the time between two sweeps of old places.
 const sweepPeriod = 2 * time.Second
--- a/core/coord/steer/target.go
+++ b/core/coord/steer/target.go
@@ -56,6 +56,8 @@
 	sent int
 	// avoidUntil is set when the target left an opening packet unanswered.
 	avoidUntil time.Time
+	// fellSilent is set once its silence has been noted.
+	fellSilent bool
 	// fullUntil is set when the target was full; the next report ends it.
 	fullUntil time.Time
 }
@@ -169,6 +171,7 @@
 		t.changedAt = now
 		t.startedAt = now
 		t.avoidUntil = time.Time{}
+		t.fellSilent = false
 	}
 	if t.health != m.Health || t.phase != m.Phase {
 		t.changedAt = now
@@ -198,6 +201,10 @@
 	if t == nil || t.service.ID() != m.Service {
 		return
 	}
+	if t.fellSilent {
+		t.fellSilent = false
+		b.do.Note(relay.Decision{Event: relay.EventAgentHeard, Peer: t.address, Age: relay.AgeOf(now, t.heardAt)})
+	}
 	t.load = m.Load
 	t.heardAt = now
 	t.sent = 0
@@ -207,6 +214,16 @@
 	}
 }
 
+// noteSilence notes the agents that have fallen silent since the last look.
+func (b *Balancer) noteSilence(now time.Time) {
+	for _, t := range b.targets {
+		if !t.fellSilent && t.runs() && t.silent(now) {
+			t.fellSilent = true
+			b.do.Note(relay.Decision{Event: relay.EventAgentSilent, Peer: t.address, Age: relay.AgeOf(now, t.heardAt)})
+		}
+	}
+}
+
 // Takers returns how many targets may be given new flows.
 func (b *Balancer) Takers(now time.Time) int {
 	count := 0
--- a/io/node/fleet.go
+++ b/io/node/fleet.go
@@ -48,6 +48,8 @@
 	nextSync time.Time
 	// nextStranger is the earliest time of the next call to a node that is not known.
 	nextStranger time.Time
+	// healths is what was last noted of each member.
+	healths map[state.InstanceID]state.Health
 	// known holds the addresses of the nodes that run.
 	known map[netip.AddrPort]struct{}
 	// alone is true while no other node is known.
@@ -115,6 +117,10 @@
 		}
 	}
 	members := f.machine.Members()
+	c := f.changedMembers(members)
+	if pairs := c.pairs(); pairs != nil {
+		f.log.Info("members have changed", append(pairs, "members", len(members))...)
+	}
 	clear(f.known)
 	for _, m := range members {
 		if m.Present() {
