--- a/io/conf/reader.go
+++ b/io/conf/reader.go
@@ -115,6 +115,13 @@
 	return true
 }
 
+// has reports whether the file has a key, which is then one that is known.
+func (r *reader) has(key string) bool {
+	r.read[key] = true
+	_, ok := r.fields[key]
+	return ok
+}
+
 // finish reports the keys that nobody read.
 func (r *reader) finish() {
 	var unknown []string
--- a/io/conf/relay.go
+++ b/io/conf/relay.go
@@ -17,6 +17,8 @@
 	Region     state.Region
 	// Internal is where other nodes reach this one, over UDP and TCP.
 	Internal netip.AddrPort
+	// Listen is where it listens for them; it is Internal unless addresses are translated on the way.
+	Listen netip.AddrPort
 	// Packets is where a balancer takes the packets of clients; clients take theirs at the same port.
 	Packets netip.AddrPort
 	// Admin is where metrics and the state are served.
@@ -53,8 +55,8 @@
 	var s Relay
 	err := load(file, func(r *reader) {
 		s = r.relay()
-		r.distinct("internalAddress", "adminAddress", "readyAddress")
-		r.distinct("internalAddress", "packetAddress")
+		r.distinct(r.listenKey(), "adminAddress", "readyAddress")
+		r.distinct(r.listenKey(), "packetAddress")
 	})
 	return s, err
 }
@@ -67,8 +69,8 @@
 		s.Service = state.ServiceName(r.text("service", true, serviceNames, placeForm))
 		s.Target = r.ipv4("targetAddress")
 		s.Outbound = r.ipv4("outboundAddress")
-		r.distinct("internalAddress", "adminAddress", "readyAddress", "controlAddress", "targetAddress")
-		r.distinct("internalAddress", "outboundAddress", "targetAddress")
+		r.distinct(r.listenKey(), "adminAddress", "readyAddress", "controlAddress", "targetAddress")
+		r.distinct(r.listenKey(), "outboundAddress", "targetAddress")
 	})
 	return s, err
 }
@@ -104,6 +106,10 @@
 		Grace:           r.seconds("graceSeconds", 5*time.Second, 0, 10*time.Minute),
 		LogLevel:        "info",
 	}
+	s.Listen = s.Internal
+	if r.has("listenAddress") {
+		s.Listen = r.ipv4("listenAddress")
+	}
 	if level := r.text("logLevel", false, levels, "debug, info, warn or error"); level != "" {
 		s.LogLevel = level
 	}
@@ -119,6 +125,14 @@
 	return a
 }
 
+// listenKey returns the key of the address at which other nodes are listened for.
+func (r *reader) listenKey() string {
+	if r.has("listenAddress") {
+		return "listenAddress"
+	}
+	return "internalAddress"
+}
+
 // distinct checks that no two keys that are listened on by the same protocol hold the same address.
 func (r *reader) distinct(keys ...string) {
 	seen := make(map[string]string)
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -85,7 +85,7 @@
 func newNode(g *group.Group, s Settings, codec Codec, directory Directory, log logs.Logger, set *metrics.Set,
 	self state.Announcement,
 ) (*node, error) {
-	conn, err := listen(s.Internal, "internal")
+	conn, err := listen(s.Listen, "internal")
 	if err != nil {
 		return nil, err
 	}
--- a/io/node/settings.go
+++ b/io/node/settings.go
@@ -46,6 +46,8 @@
 	Region     state.Region
 	// Internal is where other nodes reach this one, over UDP and TCP.
 	Internal netip.AddrPort
+	// Listen is where it listens for them: Internal, unless addresses are translated on the way.
+	Listen netip.AddrPort
 	// Seeds are the internal addresses of a few nodes, some of which may be gone.
 	Seeds []netip.AddrPort
 	// FlowAge is how long a flow may be open.
