docs: three failed requests from id to cause, played with real processes by make operations; flows that wait are logged

Change: TestExplainedFailures makes three requests fail (overload, end of the target, store cut off) and checks that the logs tell each; -update writes the lines into the page. waits is an event; refused has the time waited.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 TOOLS := bin/gofumpt bin/goimports bin/staticcheck bin/revive
 export GOFLAGS := -mod=mod -buildvcs=false
 
-.PHONY: build demo test proofs soak fuzz bench-route bench-balance bench-control bench-flows lint format generate
+.PHONY: build demo test proofs soak operations fuzz bench-route bench-balance bench-control bench-flows lint format generate
 
 build:
 	$(GO) build -o bin/ ./cmd/monsoonstep ./test/stand
@@ -28,6 +28,10 @@
 	SOAK_REGRESSIONS=1 $(GO) test -count=1 -v -timeout 20m -run Regressions ./platform/soak
 	SOAK_SEED=$(SEED) SOAK_SECONDS=$(SECONDS) $(GO) test -count=1 -v -timeout 20m -run Random ./platform/soak
 
+# Plays the stories of failed requests with real processes and writes their lines into docs/OPERATIONS.md.
+operations:
+	$(GO) test -count=1 -timeout 20m -run Explained ./platform/soak -update
+
 # A short run of each fuzz target, from the seeds in the code.
 fuzz:
 	$(GO) test -run '^$$' -fuzz FuzzParsePacket -fuzztime 20000x ./core/proto/connid
--- a/core/coord/relay/decision.go
+++ b/core/coord/relay/decision.go
@@ -46,6 +46,8 @@
 	EventAgentSilent
 	// EventAgentHeard: a balancer heard from an agent again that had been silent.
 	EventAgentHeard
+	// EventWaits: a balancer keeps a new flow that can't be placed yet.
+	EventWaits
 	// EventCount is the number of events.
 	EventCount
 )
@@ -54,7 +56,7 @@
 func (e Event) String() string {
 	names := [EventCount]string{
 		"placed", "refused", "noRoute", "reset", "search", "found", "doubted", "accepted", "turnedAway", "notHeld",
-		"adopted", "ended", "targetReady", "targetDraining", "targetGone", "agentSilent", "agentHeard",
+		"adopted", "ended", "targetReady", "targetDraining", "targetGone", "agentSilent", "agentHeard", "waits",
 	}
 	if e >= EventCount {
 		return "unknown"
--- a/core/coord/steer/choose.go
+++ b/core/coord/steer/choose.go
@@ -59,14 +59,14 @@
 		b.wait(now, seg, p.waited, reason)
 		return
 	}
-	b.refuse(seg, reason, weighed)
+	b.refuse(seg, reason, 0, weighed)
 }
 
-// refuse resets a new flow: it has not opened, so nothing of it has run.
-func (b *Balancer) refuse(seg state.Segment, reason relay.Reason, count int) {
+// refuse resets a new flow that has waited for a time: it has not opened, so nothing of it has run.
+func (b *Balancer) refuse(seg state.Segment, reason relay.Reason, waited time.Duration, count int) {
 	delete(b.flows, seg.Flow)
 	b.do.Note(relay.Decision{
-		Event: relay.EventRefused, Flow: seg.Flow, Reason: reason, Config: b.config.Version, Count: count,
+		Event: relay.EventRefused, Flow: seg.Flow, Reason: reason, Config: b.config.Version, Age: waited, Count: count,
 	})
 	b.do.Reset(seg.Flow, seg.Acknowledged)
 }
--- a/core/coord/steer/waiting.go
+++ b/core/coord/steer/waiting.go
@@ -34,14 +34,17 @@
 	if _, known := b.waiting[seg.Flow]; known {
 		return
 	}
+	if since.IsZero() {
+		since = now
+	}
 	if len(b.waiting) >= maxWaiting {
-		b.refuse(seg, reason, len(b.waiting))
+		b.refuse(seg, reason, now.Sub(since), len(b.waiting))
 		return
 	}
+	b.do.Note(relay.Decision{
+		Event: relay.EventWaits, Flow: seg.Flow, Reason: reason, Config: b.config.Version, Age: now.Sub(since), Count: len(b.waiting),
+	})
 	seg.Packet = append([]byte(nil), seg.Packet...)
-	if since.IsZero() {
-		since = now
-	}
 	b.waiting[seg.Flow] = &opening{segment: seg, since: since, reason: reason}
 }
 
@@ -81,7 +84,7 @@
 			b.place(now, route, o.segment, &place{since: now, waited: o.since})
 		case now.Sub(o.since) >= waitLimit:
 			delete(b.waiting, id)
-			b.refuse(o.segment, o.reason, len(b.waiting))
+			b.refuse(o.segment, o.reason, now.Sub(o.since), len(b.waiting))
 		}
 	}
 }
