steer: waiting flows are served by the age that their opening packet tells

Ruled out: slow start (all targets were ready at 35.69 s), a missing configuration (in force before). Test: TestCopiesFromBeforeAnOutageDoNotMakeNewFlowsLate (failed before).

--- a/core/coord/steer/choose_test.go
+++ b/core/coord/steer/choose_test.go
@@ -108,6 +108,23 @@
 	w.is.Equal(len(w.resets), 2)
 }
 
+// Pattern: all machines were dark for a second, and the first packets that come are copies of opening packets that were sent
+// meanwhile. Those flows are late already; the ones that begin now are not, and go first.
+func TestCopiesFromBeforeAnOutageDoNotMakeNewFlowsLate(t *testing.T) {
+	w := newWorld(t)
+	w.b.Configure(configWith(func(r *state.Route) { r.Target = 250 * time.Millisecond }))
+	w.members(1)
+	w.report(1, relay.Load{Takes: true, Room: 0, Slots: 4, Period: time.Second})
+	old := opens(flow(1), 2)
+	old.Age = 600 * time.Millisecond
+	w.b.Packet(w.now, old)
+	w.b.Packet(w.now, opens(flow(2), 0))
+	w.report(1, relay.Load{Takes: true, Room: 1, Slots: 4, Period: time.Second})
+	offered, _ := w.last(relay.KindOpen)
+	w.is.Equal(offered.Flow, flow(2))
+	w.is.Equal(w.count(relay.KindOpen), 1)
+}
+
 // Pattern: the same. A flow that waits goes on as soon as an agent tells of room, not at the next tick.
 func TestRoomIsUsedAtOnce(t *testing.T) {
 	w := newWorld(t)
--- a/core/coord/steer/waiting.go
+++ b/core/coord/steer/waiting.go
@@ -109,9 +109,9 @@
 
 func (b *Balancer) route(o *opening) state.Route { return b.config.Routes[o.segment.Flow.Virtual] }
 
-// lateness is 1 for a flow that has waited for longer than its latency objective, and 0 otherwise.
+// lateness is 1 for a flow whose client has tried to open it for longer than its latency objective, and 0 otherwise.
 func (b *Balancer) lateness(now time.Time, o *opening) int {
-	if now.Sub(o.since) > b.route(o).Target {
+	if now.Sub(o.since)+o.segment.Age > b.route(o).Target {
 		return 1
 	}
 	return 0
