steer, gate: flows that are late already get free slots only

Change: an open says whether its client has waited beyond the objective; the agent takes such a flow only while a slot is free, and balancers offer it only then. Slots stay busy; the waiting room is for flows in time. A late flow's refusal does not close the target to others.

--- a/core/coord/gate/gate_test.go
+++ b/core/coord/gate/gate_test.go
@@ -457,3 +457,22 @@
 	w.receive(relay.KindData, data(flow(1)))
 	w.is.Equal(w.delivered, []string{"data"})
 }
+
+// Pattern: an outage has left a backlog of flows that are late already. They get slots that are free; the room to wait at
+// the target is kept for flows that can still be answered in time.
+func TestLateFlowsDoNotQueueAtTheTarget(t *testing.T) {
+	w := newWorld(t)
+	w.beat("t1", 1, false)
+	offer := func(n uint16, late bool) {
+		w.g.Receive(w.now, front, relay.Message{
+			Kind: relay.KindOpen, Flow: flow(n), Service: service.ID(), Late: late, Packet: syn(flow(n)).Packet,
+		}, syn(flow(n)))
+	}
+	offer(1, true)
+	offer(2, true) // both slots are taken
+	offer(3, true)
+	w.is.Equal(len(w.delivered), 2)
+	w.is.Equal(w.kinds(relay.KindRefused)[0].Reason, relay.ReasonFull)
+	offer(4, false)
+	w.is.Equal(len(w.delivered), 3)
+}
--- a/core/coord/gate/inbound.go
+++ b/core/coord/gate/inbound.go
@@ -35,8 +35,8 @@
 		return
 	}
 	g.objective = m.Target
-	if g.room() == 0 {
-		g.toldFull = true
+	g.toldFull = g.toldFull || g.room() == 0
+	if g.room() == 0 || m.Late && g.busy >= g.target.slots {
 		g.refuse(now, from, m.Config, seg, relay.ReasonFull)
 		return
 	}
--- a/core/coord/relay/message.go
+++ b/core/coord/relay/message.go
@@ -116,6 +116,8 @@
 	Holder netip.AddrPort
 	// Target is the latency within which an answer is worth most, in an open.
 	Target time.Duration
+	// Late is true in an open whose client has waited for longer than that already.
+	Late   bool
 	Reason Reason
 	Load   Load
 	// Packet is the packet of the flow; it is valid only during the call that passes it.
--- a/core/coord/steer/choose.go
+++ b/core/coord/steer/choose.go
@@ -31,7 +31,8 @@
 // place offers a new flow to the best target, or refuses it at once if none takes it.
 func (b *Balancer) place(now time.Time, route state.Route, seg state.Segment, p *place) {
 	service := route.Choose(seg.Flow)
-	t, weighed := b.choose(now, service, seg.Flow, p.tried)
+	late := b.isLate(now, seg, p.waited)
+	t, weighed := b.choose(now, service, seg.Flow, p.tried, late)
 	if t == nil || len(p.tried) >= maxTries {
 		b.postpone(now, service, seg, p, weighed)
 		return
@@ -45,7 +46,7 @@
 		Event: relay.EventPlaced, Flow: seg.Flow, Peer: t.address, Config: b.config.Version,
 		Age: relay.AgeOf(now, t.heardAt), Count: weighed,
 	})
-	b.forward(relay.KindOpen, t, seg)
+	b.offer(t, seg, late)
 }
 
 // postpone keeps a new flow that no target takes now for a moment, if one may take it soon, and refuses it otherwise.
@@ -74,7 +75,7 @@
 // repeat handles a copy of an opening packet: it goes to the same target, unless that left the first unanswered.
 func (b *Balancer) repeat(now time.Time, route state.Route, seg state.Segment, p *place) {
 	if p.confirmed || now.Sub(p.since) < repeatWait {
-		b.forward(relay.KindOpen, p.target, seg)
+		b.offer(p.target, seg, false)
 		return
 	}
 	p.target.avoidUntil = now.Add(quietPenalty)
@@ -84,10 +85,10 @@
 
 // choose returns the target with the least expected time to an answer among those of a service that rank first for the
 // flow and take flows, and how many were weighed.
-func (b *Balancer) choose(now time.Time, service state.ServiceName, flow state.FlowID, not []*target) (*target, int) {
+func (b *Balancer) choose(now time.Time, service state.ServiceName, flow state.FlowID, not []*target, late bool) (*target, int) {
 	members := ranked(flow, slices.Clone(b.byService[service]))
 	for first := 0; first < len(members); first += choices {
-		best, weighed := b.cheapest(now, members[first:min(first+choices, len(members))], not)
+		best, weighed := b.cheapest(now, members[first:min(first+choices, len(members))], not, late)
 		if best != nil {
 			return best, weighed
 		}
@@ -96,12 +97,12 @@
 }
 
 // cheapest returns the best of a few targets, and how many of them take flows.
-func (b *Balancer) cheapest(now time.Time, targets, not []*target) (*target, int) {
+func (b *Balancer) cheapest(now time.Time, targets, not []*target, late bool) (*target, int) {
 	var best *target
 	var least time.Duration
 	weighed := 0
 	for _, t := range targets {
-		if !t.takes(now) || slices.Contains(not, t) {
+		if !t.takes(now) || slices.Contains(not, t) || late && !t.hasFreeSlot() {
 			continue
 		}
 		weighed++
--- a/core/coord/steer/receive.go
+++ b/core/coord/steer/receive.go
@@ -78,11 +78,15 @@
 	if p == nil || p.confirmed || p.target.address != from || !seg.Opens {
 		return
 	}
-	if m.Reason == relay.ReasonFull {
+	switch {
+	case m.Reason != relay.ReasonFull:
+		p.target.load.Takes = false
+	case !b.isLate(now, seg, p.waited):
 		p.target.fullUntil = now.Add(fullPenalty)
 		p.full = true
-	} else {
-		p.target.load.Takes = false
+	default:
+		// The target may still have room for a flow that is not late.
+		p.full = true
 	}
 	p.tried = append(p.tried, p.target)
 	route, ok := b.config.Routes[seg.Flow.Virtual]
--- a/core/coord/steer/search.go
+++ b/core/coord/steer/search.go
@@ -237,10 +237,10 @@
 		}
 		seg := s.segment
 		seg.Packet = packet
-		kind := relay.KindData
 		if seg.Opens {
-			kind = relay.KindOpen
+			b.offer(t, seg, false)
+			continue
 		}
-		b.forward(kind, t, seg)
+		b.forward(relay.KindData, t, seg)
 	}
 }
--- a/core/coord/steer/steer.go
+++ b/core/coord/steer/steer.go
@@ -204,17 +204,28 @@
 		Flow:    seg.Flow,
 		Service: t.service.ID(),
 		Config:  b.config.Version,
-		Target:  b.objective(kind, seg),
 		Packet:  seg.Packet,
 	})
 }
 
-// objective returns the latency objective of a new flow.
-func (b *Balancer) objective(kind relay.Kind, seg state.Segment) time.Duration {
-	if kind != relay.KindOpen {
-		return 0
-	}
-	return b.config.Routes[seg.Flow.Virtual].Target
+// offer sends an opening packet to a target's agent.
+func (b *Balancer) offer(t *target, seg state.Segment, late bool) {
+	b.do.Send(t.address, relay.Message{
+		Kind:    relay.KindOpen,
+		Flow:    seg.Flow,
+		Service: t.service.ID(),
+		Config:  b.config.Version,
+		Target:  b.config.Routes[seg.Flow.Virtual].Target,
+		Late:    late,
+		Packet:  seg.Packet,
+	})
+}
+
+// isLate reports whether the client of a new flow has waited for longer than the latency objective: since the time at
+// which the flow began to wait here, zero if it did not, and before.
+func (b *Balancer) isLate(now time.Time, seg state.Segment, since time.Time) bool {
+	objective := b.config.Routes[seg.Flow.Virtual].Target
+	return objective > 0 && relay.AgeOf(now, since)+seg.Age > objective
 }
 
 // Tick lets time pass. It is called every TickPeriod.
--- a/core/coord/steer/target.go
+++ b/core/coord/steer/target.go
@@ -94,6 +94,9 @@
 	return t.serves(now) && !now.Before(t.avoidUntil) && !now.Before(t.fullUntil) && (t.heardAt.IsZero() || t.load.Room > t.sent)
 }
 
+// hasFreeSlot reports whether one more request would run at once at the target, as far as is known.
+func (t *target) hasFreeSlot() bool { return t.heardAt.IsZero() || t.load.Busy+t.sent < t.load.Slots }
+
 // runs reports whether the membership takes the agent for running.
 func (t *target) runs() bool {
 	return t.member && (t.health == state.HealthAlive || t.health == state.HealthSuspect)
--- a/core/coord/steer/waiting.go
+++ b/core/coord/steer/waiting.go
@@ -79,7 +79,7 @@
 		switch {
 		case b.config.Version != 0 && !ok:
 			b.refuseRoute(o.segment)
-		case ok && b.canServe(now, route, id):
+		case ok && b.canServe(now, route, o):
 			delete(b.waiting, id)
 			b.place(now, route, o.segment, &place{since: now, waited: o.since})
 		case now.Sub(o.since) >= waitLimit:
@@ -111,13 +111,14 @@
 
 // lateness is 1 for a flow whose client has tried to open it for longer than its latency objective, and 0 otherwise.
 func (b *Balancer) lateness(now time.Time, o *opening) int {
-	if now.Sub(o.since)+o.segment.Age > b.route(o).Target {
+	if b.isLate(now, o.segment, o.since) {
 		return 1
 	}
 	return 0
 }
 
-func (b *Balancer) canServe(now time.Time, route state.Route, id state.FlowID) bool {
-	t, _ := b.choose(now, route.Choose(id), id, nil)
+func (b *Balancer) canServe(now time.Time, route state.Route, o *opening) bool {
+	id := o.segment.Flow
+	t, _ := b.choose(now, route.Choose(id), id, nil, b.isLate(now, o.segment, o.since))
 	return t != nil
 }
--- a/core/proto/hops/relay.go
+++ b/core/proto/hops/relay.go
@@ -21,6 +21,7 @@
 	relayLoad
 	relayPacket
 	relayTargetMillis
+	relayLate
 )
 
 // The field numbers of a load.
@@ -51,6 +52,7 @@
 	b = appendAddress(b, relayHolder, m.Holder)
 	b = appendNumber(b, relayReason, uint64(m.Reason))
 	b = appendNumber(b, relayTargetMillis, uint64(max(0, m.Target.Milliseconds())))
+	b = appendNumber(b, relayLate, protowire.EncodeBool(m.Late))
 	if m.Kind == relay.KindLoad {
 		b = appendBytes(b, relayLoad, appendLoad(nil, m.Load))
 	}
@@ -108,6 +110,8 @@
 		err = eachField(f.bytes, func(l field) error { setLoad(&m.Load, l); return nil })
 	case relayPacket:
 		m.Packet = f.bytes
+	case relayLate:
+		m.Late = f.value != 0
 	case relayTargetMillis:
 		m.Target = duration(f.value, time.Millisecond)
 	}
