gate, steer: a slot that comes free is reported if a late flow was turned away

Change: toldBusy beside toldFull; a balancer offers a late flow to a target until it is turned away there, and again after the next report.

--- a/core/coord/gate/gate.go
+++ b/core/coord/gate/gate.go
@@ -107,6 +107,8 @@
 	lastReport time.Time
 	// toldFull is true if the balancers were last told that there is no room.
 	toldFull bool
+	// toldBusy is true if a late flow was turned away because no slot was free, since the last report.
+	toldBusy bool
 	// stopping is set once the agent itself ends.
 	stopping bool
 }
--- a/core/coord/gate/gate_test.go
+++ b/core/coord/gate/gate_test.go
@@ -133,6 +133,11 @@
 	w.receive(relay.KindData, ack)
 }
 
+// answers lets the target answer a request.
+func (w *world) answers(f state.FlowID) {
+	w.g.Outbound(w.now, state.Segment{Flow: f, Acknowledges: true, DataLen: 10, Packet: []byte("answer")})
+}
+
 func (w *world) returned(seg state.Segment) {
 	seg.Returned = true
 	w.g.Outbound(w.now, seg)
@@ -475,4 +480,16 @@
 	w.is.Equal(w.kinds(relay.KindRefused)[0].Reason, relay.ReasonFull)
 	offer(4, false)
 	w.is.Equal(len(w.delivered), 3)
+	// Balancers that keep late flows hear of a free slot at once.
+	for _, n := range []uint16{1, 2, 4} {
+		w.open(flow(n))
+		w.receive(relay.KindData, data(flow(n)))
+	}
+	offer(5, true)
+	w.now = w.now.Add(20 * time.Millisecond)
+	w.clear()
+	w.answers(flow(4))
+	w.is.Equal(len(w.kinds(relay.KindLoad)), 0) // both slots are still taken
+	w.answers(flow(1))
+	w.is.Equal(len(w.kinds(relay.KindLoad)), 2)
 }
--- a/core/coord/gate/inbound.go
+++ b/core/coord/gate/inbound.go
@@ -35,8 +35,9 @@
 		return
 	}
 	g.objective = m.Target
-	g.toldFull = g.toldFull || g.room() == 0
-	if g.room() == 0 || m.Late && g.busy >= g.target.slots {
+	if room := g.room(); room == 0 || m.Late && !g.hasFreeSlot() {
+		g.toldFull = g.toldFull || room == 0
+		g.toldBusy = g.toldBusy || room > 0
 		g.refuse(now, from, m.Config, seg, relay.ReasonFull)
 		return
 	}
@@ -58,6 +59,9 @@
 	return max(0, int(factor*float64(g.target.slots))-g.busy)
 }
 
+// hasFreeSlot reports whether one more request would run at once.
+func (g *Gate) hasFreeSlot() bool { return g.target.slots <= 0 || g.busy < g.target.slots }
+
 // refuse gives an opening packet back to its balancer. The version is that of the configuration under which it was
 // offered; zero if the target gave the packet back.
 func (g *Gate) refuse(now time.Time, to netip.AddrPort, version state.ConfigVersion, seg state.Segment, reason relay.Reason) {
@@ -136,7 +140,8 @@
 	}
 	f.busy = false
 	g.busy--
-	if g.toldFull && g.room() > 0 && now.Sub(g.lastReport) >= roomReportGap {
+	news := g.toldFull && g.room() > 0 || g.toldBusy && g.hasFreeSlot()
+	if news && now.Sub(g.lastReport) >= roomReportGap {
 		g.report(now)
 	}
 	took := now.Sub(f.busySince)
--- a/core/coord/gate/tick.go
+++ b/core/coord/gate/tick.go
@@ -56,6 +56,7 @@
 	g.lastReport = now
 	m := g.load(now)
 	g.toldFull = m.Load.Room == 0
+	g.toldBusy = false
 	for _, b := range g.owners.All() {
 		g.do.Send(b, m)
 	}
--- a/core/coord/steer/choose.go
+++ b/core/coord/steer/choose.go
@@ -102,7 +102,7 @@
 	var least time.Duration
 	weighed := 0
 	for _, t := range targets {
-		if !t.takes(now) || slices.Contains(not, t) || late && !t.hasFreeSlot() {
+		if !t.takes(now) || slices.Contains(not, t) || late && now.Before(t.lateUntil) {
 			continue
 		}
 		weighed++
--- a/core/coord/steer/receive.go
+++ b/core/coord/steer/receive.go
@@ -86,6 +86,7 @@
 		p.full = true
 	default:
 		// The target may still have room for a flow that is not late.
+		p.target.lateUntil = now.Add(fullPenalty)
 		p.full = true
 	}
 	p.tried = append(p.tried, p.target)
--- a/core/coord/steer/target.go
+++ b/core/coord/steer/target.go
@@ -30,7 +30,7 @@
 	plannedAbsence = 8 * time.Second
 	// quietPenalty is how long a target is passed over that left an opening packet unanswered.
 	quietPenalty = time.Second
-	// fullPenalty is how long a full target is passed over: about the time in which it ends a few requests.
+	// fullPenalty is how long a full target is passed over, for all flows or for those that are late: about the time in which it ends a few requests.
 	fullPenalty = 50 * time.Millisecond
 )
 
@@ -60,6 +60,8 @@
 	fellSilent bool
 	// fullUntil is set when the target was full; the next report ends it.
 	fullUntil time.Time
+	// lateUntil is set when the target did not take a flow that was late; the next report ends it.
+	lateUntil time.Time
 }
 
 // lost reports whether the flows of the target can be given up: its agent is dead, without having left on
@@ -94,9 +96,6 @@
 	return t.serves(now) && !now.Before(t.avoidUntil) && !now.Before(t.fullUntil) && (t.heardAt.IsZero() || t.load.Room > t.sent)
 }
 
-// hasFreeSlot reports whether one more request would run at once at the target, as far as is known.
-func (t *target) hasFreeSlot() bool { return t.heardAt.IsZero() || t.load.Busy+t.sent < t.load.Slots }
-
 // runs reports whether the membership takes the agent for running.
 func (t *target) runs() bool {
 	return t.member && (t.health == state.HealthAlive || t.health == state.HealthSuspect)
@@ -212,6 +211,7 @@
 	t.heardAt = now
 	t.sent = 0
 	t.fullUntil = time.Time{}
+	t.lateUntil = time.Time{}
 	if m.Load.Room > 0 && len(b.waiting) > 0 {
 		b.serveWaiting(now)
 	}
