steer, gate: unknown flows are asked for together; a report with room is used without looking at all flows

Ruled out: silent or restarted agents (all known and heard), membership (complete), the store. Change: agents that know all flows of their targets (told in load reports) are asked by name, up to 80 flows a datagram, sent when no further event waits, and answer in one; others still get the packet. Unanswered questions are repeated once. A report's room goes to the first flows in order at once.

--- a/core/coord/gate/gate_test.go
+++ b/core/coord/gate/gate_test.go
@@ -493,3 +493,29 @@
 	w.answers(flow(1))
 	w.is.Equal(len(w.kinds(relay.KindLoad)), 2)
 }
+
+// A balancer that looks for many flows names them in one message.
+func TestManyFlowsAreAnsweredTogether(t *testing.T) {
+	w := newWorld(t)
+	w.beat("t1", 1, false)
+	w.carry(flow(1))
+	w.receive(relay.KindOpen, syn(flow(2)))
+	w.clear()
+	ask := relay.Message{Kind: relay.KindAskMany, Service: service.ID(), Flows: []state.FlowID{flow(1), flow(2), flow(3)}}
+	w.g.Receive(w.now, second, ask, state.Segment{})
+	held := w.kinds(relay.KindHeld)
+	w.is.Equal(len(held), 1)
+	w.is.Equal(held[0].to, second)
+	w.is.Equal(held[0].Flow, flow(1))
+	answers := w.kinds(relay.KindAnswers)
+	w.is.Equal(len(answers), 1)
+	w.is.Equal(answers[0].Flows, []state.FlowID{flow(3)})
+	w.is.Equal(answers[0].Unsure, []state.FlowID{flow(2)}) // its opening packet is not answered yet
+
+	w.restart() // beside the running target
+	w.sequence = 7
+	w.beat("t1", 1, false)
+	w.clear()
+	w.g.Receive(w.now, second, ask, state.Segment{})
+	w.is.Equal(w.kinds(relay.KindAnswers)[0].Unsure, ask.Flows)
+}
--- a/core/coord/gate/inbound.go
+++ b/core/coord/gate/inbound.go
@@ -16,6 +16,28 @@
 		g.receiveOpen(now, from, m, seg)
 	case relay.KindData, relay.KindAsk:
 		g.receiveData(now, from, m, seg)
+	case relay.KindAskMany:
+		g.answerMany(now, from, m)
+	}
+}
+
+// answerMany answers which of some flows the target holds.
+func (g *Gate) answerMany(now time.Time, from netip.AddrPort, m relay.Message) {
+	answers := relay.Message{Kind: relay.KindAnswers}
+	certain := m.Service != g.settings.Service.ID() || g.complete(now)
+	for _, id := range m.Flows {
+		f, known := g.flows[id]
+		switch {
+		case known && f.phase == open:
+			g.sendHeld(from, id)
+		case !known && certain:
+			answers.Flows = append(answers.Flows, id)
+		default:
+			answers.Unsure = append(answers.Unsure, id)
+		}
+	}
+	if len(answers.Flows)+len(answers.Unsure) > 0 {
+		g.do.Send(from, answers)
 	}
 }
 
@@ -96,8 +118,9 @@
 	answer := relay.Message{Kind: relay.KindNotHeld, Flow: seg.Flow}
 	if m.Kind == relay.KindData {
 		answer.Packet = seg.Packet
+		// What an ask comes to is noted by the balancer, which asks many agents.
+		g.do.Note(relay.Decision{Event: relay.EventNotHeld, Flow: seg.Flow, Peer: to})
 	}
-	g.do.Note(relay.Decision{Event: relay.EventNotHeld, Flow: seg.Flow, Peer: to})
 	g.do.Send(to, answer)
 }
 
--- a/core/coord/relay/message.go
+++ b/core/coord/relay/message.go
@@ -20,6 +20,11 @@
 	KindData
 	// KindAsk carries a packet to an agent that may hold the flow; the agent answers held or notHeld.
 	KindAsk
+	// KindAskMany asks an agent which of some flows its target holds. It carries no packets; the agent answers held for each that
+	// is, and answers for the others.
+	KindAskMany
+	// KindAnswers tells which flows of an ask the agent's target does not hold, and of which it can't be sure without a packet.
+	KindAnswers
 	// KindRefused gives an opening packet back to its balancer: the target did not take the flow.
 	KindRefused
 	// KindNotHeld tells a balancer that the agent's target does not hold the flow. It carries the packet
@@ -99,11 +104,16 @@
 	ServiceTime time.Duration
 	// Warmup is how much longer the target stays slow after its start.
 	Warmup time.Duration
+	// Complete is true if the agent knows every flow that the target holds.
+	Complete bool
 	// Period is the time until the next report; a balancer that hears nothing for several periods stops
 	// sending new flows.
 	Period time.Duration
 }
 
+// MaxFlows is how many flows one message names, so that it fits into a datagram of 1,200 bytes.
+const MaxFlows = 80
+
 // Message is one datagram between two nodes.
 type Message struct {
 	Kind Kind
@@ -120,6 +130,10 @@
 	Late   bool
 	Reason Reason
 	Load   Load
+	// Flows are the flows that are asked for, or that are not held; at most MaxFlows.
+	Flows []state.FlowID
+	// Unsure are the flows that were asked for and may be held; at most MaxFlows.
+	Unsure []state.FlowID
 	// Packet is the packet of the flow; it is valid only during the call that passes it.
 	Packet []byte
 }
--- a/core/coord/steer/bench_test.go
+++ b/core/coord/steer/bench_test.go
@@ -83,3 +83,26 @@
 	}
 	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/benchFlows, "bytes/flow")
 }
+
+// BenchmarkReportWhileFlowsWait takes in a load report with room for one more request while 100 new flows wait.
+func BenchmarkReportWhileFlowsWait(b *testing.B) {
+	balancer := newBenchBalancer(200)
+	full := relay.Message{Kind: relay.KindLoad, Service: service.ID(), Load: relay.Load{Takes: true, Slots: 4, Period: time.Second}}
+	agentAt := func(n int) netip.AddrPort {
+		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(n)}), 7700)
+	}
+	for n := range serviceAgents {
+		balancer.Receive(start, agentAt(n), full, state.Segment{})
+	}
+	for n := range uint16(100) {
+		balancer.Packet(start, opens(flow(n), 0))
+	}
+	room := full
+	room.Load.Room = 1
+	for n := range b.N {
+		next := flow(uint16(100 + n%60000))
+		balancer.Packet(start, opens(next, 0))
+		balancer.Receive(start, agentAt(n%serviceAgents), room, state.Segment{})
+		balancer.Receive(start, agentAt(n%serviceAgents), full, state.Segment{})
+	}
+}
--- a/core/coord/steer/choose.go
+++ b/core/coord/steer/choose.go
@@ -31,12 +31,17 @@
 // place offers a new flow to the best target, or refuses it at once if none takes it.
 func (b *Balancer) place(now time.Time, route state.Route, seg state.Segment, p *place) {
 	service := route.Choose(seg.Flow)
-	late := b.isLate(now, seg, p.waited)
+	late := isLate(now, route.Target, seg, p.waited)
 	t, weighed := b.choose(now, service, seg.Flow, p.tried, late)
 	if t == nil || len(p.tried) >= maxTries {
 		b.postpone(now, service, seg, p, weighed)
 		return
 	}
+	b.placeAt(now, seg, p, t, weighed)
+}
+
+// placeAt offers a new flow to a target.
+func (b *Balancer) placeAt(now time.Time, seg state.Segment, p *place, t *target, weighed int) {
 	p.target = t
 	p.since = now
 	p.confirmed = false
@@ -46,7 +51,7 @@
 		Event: relay.EventPlaced, Flow: seg.Flow, Peer: t.address, Config: b.config.Version,
 		Age: relay.AgeOf(now, t.heardAt), Count: weighed,
 	})
-	b.offer(t, seg, late)
+	b.offer(t, seg, isLate(now, b.config.Routes[seg.Flow.Virtual].Target, seg, p.waited))
 }
 
 // postpone keeps a new flow that no target takes now for a moment, if one may take it soon, and refuses it otherwise.
--- a/core/coord/steer/receive.go
+++ b/core/coord/steer/receive.go
@@ -24,6 +24,28 @@
 		b.refused(now, from, m, seg)
 	case relay.KindNotHeld:
 		b.notHeld(now, from, m, seg)
+	case relay.KindAnswers:
+		b.answered(now, from, m)
+	}
+}
+
+// answered learns which flows an agent's target does not hold, and of which its agent wants a packet.
+func (b *Balancer) answered(now time.Time, from netip.AddrPort, m relay.Message) {
+	t := b.targets[from]
+	if t == nil {
+		return
+	}
+	for _, id := range m.Flows {
+		if s, searching := b.searches[id]; searching {
+			b.denied(now, s, t)
+		}
+	}
+	for _, id := range m.Unsure {
+		if s, searching := b.searches[id]; searching {
+			s.unsure = append(s.unsure, t)
+			s.asked = slices.DeleteFunc(s.asked, func(other *target) bool { return other == t })
+			b.askNext(now, s)
+		}
 	}
 }
 
@@ -46,7 +68,7 @@
 		b.flows[m.Flow] = &place{target: t, since: now, confirmed: true}
 	}
 	if s, searching := b.searches[m.Flow]; searching {
-		b.found(now, s, t, s.agents && from == m.Holder)
+		b.found(now, s, t, from == m.Holder && slices.Contains(s.carried, t))
 	}
 }
 
@@ -78,10 +100,11 @@
 	if p == nil || p.confirmed || p.target.address != from || !seg.Opens {
 		return
 	}
+	route, ok := b.config.Routes[seg.Flow.Virtual]
 	switch {
 	case m.Reason != relay.ReasonFull:
 		p.target.load.Takes = false
-	case !b.isLate(now, seg, p.waited):
+	case !isLate(now, route.Target, seg, p.waited):
 		p.target.fullUntil = now.Add(fullPenalty)
 		p.full = true
 	default:
@@ -90,7 +113,6 @@
 		p.full = true
 	}
 	p.tried = append(p.tried, p.target)
-	route, ok := b.config.Routes[seg.Flow.Virtual]
 	if !ok {
 		b.refuseRoute(seg)
 		return
--- a/core/coord/steer/search.go
+++ b/core/coord/steer/search.go
@@ -20,6 +20,8 @@
 	// that have been found. asksBurst is what it may send at once.
 	asksPerSecond = 4000
 	asksBurst     = 400
+	// askRepeats is how often agents that do not answer are asked again: datagrams are lost now and then.
+	askRepeats = 1
 	// maxHeld is how many packets of one flow wait for the end of a search.
 	maxHeld = 4
 	// settleTime is how long a balancer must have heard of no new agent before it takes its list of agents for complete;
@@ -42,6 +44,12 @@
 	owners []netip.AddrPort
 	// asked are the targets that were asked and have not answered.
 	asked []*target
+	// carried are the targets that were asked with the packet; the holder among them has it.
+	carried []*target
+	// unsure are the targets whose agents can't tell without a packet.
+	unsure []*target
+	// repeats is how often agents that did not answer were asked again.
+	repeats int
 	// denied are the targets that do not hold the flow.
 	denied []*target
 	// skipped are the targets whose agents were asked and are silent, if the flow's requests may be repeated.
@@ -112,6 +120,29 @@
 		}
 		return
 	}
+	rest = slices.DeleteFunc(rest, func(t *target) bool { return b.askByName(s, t) })
+	b.askWithPacket(now, s, rest)
+}
+
+// askByName asks an agent that knows all flows of its target, with the next message to it. It reports whether it did.
+func (b *Balancer) askByName(s *search, t *target) bool {
+	if !t.load.Complete || slices.Contains(s.unsure, t) {
+		return false
+	}
+	s.asked = append(s.asked, t)
+	if len(t.questions) == 0 {
+		b.asking = append(b.asking, t)
+	}
+	t.questions = append(t.questions, s.segment.Flow)
+	if len(t.questions) == relay.MaxFlows {
+		b.ask(t)
+	}
+	return true
+}
+
+// askWithPacket asks agents that have to try the packet at their targets: a few at a time, since the search ends with
+// the first that holds the flow.
+func (b *Balancer) askWithPacket(now time.Time, s *search, rest []*target) {
 	rest = rest[:min(s.batch, len(rest))]
 	if !b.asks.take(now, len(rest)) {
 		s.deadline = now.Add(doubtWait)
@@ -120,10 +151,31 @@
 	s.batch *= batchGrowth
 	for _, t := range rest {
 		s.asked = append(s.asked, t)
+		s.carried = append(s.carried, t)
 		b.forward(relay.KindAsk, t, s.segment)
 	}
 }
 
+// Idle is called when no further event waits. It sends the questions that have gathered: after an outage a balancer looks
+// for hundreds of flows at once.
+func (b *Balancer) Idle() {
+	for _, t := range b.asking {
+		b.ask(t)
+	}
+	b.asking = b.asking[:0]
+}
+
+// ask sends the questions for an agent.
+func (b *Balancer) ask(t *target) {
+	if len(t.questions) == 0 {
+		return
+	}
+	b.do.Send(t.address, relay.Message{
+		Kind: relay.KindAskMany, Service: t.service.ID(), Config: b.config.Version, Flows: t.questions,
+	})
+	t.questions = nil
+}
+
 // unasked returns the targets that may hold the flow and were not asked, in the order in which a balancer prefers them
 // for it: a flow is most likely where it would be placed again.
 func (b *Balancer) unasked(now time.Time, s *search) []*target {
@@ -204,10 +256,14 @@
 		return t.lost(now)
 	})
 	unanswered := len(s.asked) > 0 && len(b.unasked(now, s)) == 0
-	if now.Sub(s.since) > searchLimit || unanswered {
+	if now.Sub(s.since) > searchLimit || unanswered && s.repeats == askRepeats {
 		b.giveUp(now, s)
 		return
 	}
+	if unanswered {
+		s.repeats++
+		s.asked = nil
+	}
 	b.askNext(now, s)
 }
 
--- a/core/coord/steer/steer.go
+++ b/core/coord/steer/steer.go
@@ -63,6 +63,8 @@
 	lastArrival time.Time
 	nextSweep   time.Time
 	nextLook    time.Time
+	// asking are the targets for which questions have gathered.
+	asking []*target
 }
 
 // place is where a flow is thought to be.
@@ -146,7 +148,7 @@
 	}
 	switch {
 	case seg.Opens && b.config.Version == 0:
-		b.wait(now, seg, now, relay.ReasonNotReady)
+		b.wait(now, seg, time.Time{}, relay.ReasonNotReady)
 	case seg.Opens && seg.Acknowledged == 0:
 		b.place(now, route, seg, &place{since: now})
 	default:
@@ -223,8 +225,7 @@
 
 // isLate reports whether the client of a new flow has waited for longer than the latency objective: since the time at
 // which the flow began to wait here, zero if it did not, and before.
-func (b *Balancer) isLate(now time.Time, seg state.Segment, since time.Time) bool {
-	objective := b.config.Routes[seg.Flow.Virtual].Target
+func isLate(now time.Time, objective time.Duration, seg state.Segment, since time.Time) bool {
 	return objective > 0 && relay.AgeOf(now, since)+seg.Age > objective
 }
 
@@ -236,6 +237,7 @@
 		}
 	}
 	b.serveWaiting(now)
+	b.Idle()
 	if !now.Before(b.nextLook) {
 		b.nextLook = now.Add(lookPeriod)
 		b.noteSilence(now)
--- a/core/coord/steer/target.go
+++ b/core/coord/steer/target.go
@@ -56,6 +56,8 @@
 	sent int
 	// avoidUntil is set when the target left an opening packet unanswered.
 	avoidUntil time.Time
+	// questions are the flows that its agent is asked for next.
+	questions []state.FlowID
 	// fellSilent is set once its silence has been noted.
 	fellSilent bool
 	// fullUntil is set when the target was full; the next report ends it.
@@ -213,7 +215,7 @@
 	t.fullUntil = time.Time{}
 	t.lateUntil = time.Time{}
 	if m.Load.Room > 0 && len(b.waiting) > 0 {
-		b.serveWaiting(now)
+		b.serveAt(now, t)
 	}
 }
 
--- a/core/coord/steer/waiting.go
+++ b/core/coord/steer/waiting.go
@@ -26,6 +26,11 @@
 	since   time.Time
 	// reason is why the flow could not be placed at once.
 	reason relay.Reason
+	// version is the configuration that route and service are from; routed is false if it has no route for the flow.
+	version state.ConfigVersion
+	route   state.Route
+	service state.ServiceName
+	routed  bool
 }
 
 // wait keeps a new flow for a moment, or refuses it if too many wait. A flow that waited before, and was then offered
@@ -34,20 +39,33 @@
 	if _, known := b.waiting[seg.Flow]; known {
 		return
 	}
-	if since.IsZero() {
+	again := !since.IsZero()
+	if !again {
 		since = now
 	}
 	if len(b.waiting) >= maxWaiting {
 		b.refuse(seg, reason, now.Sub(since), len(b.waiting))
 		return
 	}
-	b.do.Note(relay.Decision{
-		Event: relay.EventWaits, Flow: seg.Flow, Reason: reason, Config: b.config.Version, Age: now.Sub(since), Count: len(b.waiting),
-	})
+	if !again {
+		b.do.Note(relay.Decision{
+			Event: relay.EventWaits, Flow: seg.Flow, Reason: reason, Config: b.config.Version, Count: len(b.waiting),
+		})
+	}
 	seg.Packet = append([]byte(nil), seg.Packet...)
 	b.waiting[seg.Flow] = &opening{segment: seg, since: since, reason: reason}
 }
 
+// describe looks up the route of a flow that waits, if the configuration has changed.
+func (b *Balancer) describe(o *opening) {
+	if o.version == b.config.Version {
+		return
+	}
+	o.version = b.config.Version
+	o.route, o.routed = b.config.Routes[o.segment.Flow.Virtual]
+	o.service = o.route.Choose(o.segment.Flow)
+}
+
 // anyServes reports whether a target of a service takes flows, if not at this moment.
 func (b *Balancer) anyServes(now time.Time, service state.ServiceName) bool {
 	for _, t := range b.byService[service] {
@@ -73,15 +91,19 @@
 
 // serveWaiting places the flows that waited once there is a target, and refuses those that waited too long.
 func (b *Balancer) serveWaiting(now time.Time) {
+	if len(b.waiting) == 0 {
+		return
+	}
+	room := b.roomByService(now)
 	for _, o := range b.inOrder(now) {
 		id := o.segment.Flow
-		route, ok := b.config.Routes[id.Virtual]
 		switch {
-		case b.config.Version != 0 && !ok:
+		case b.config.Version != 0 && !o.routed:
 			b.refuseRoute(o.segment)
-		case ok && b.canServe(now, route, o):
+		case o.routed && room[o.service] > 0 && b.canServe(now, o):
+			room[o.service]--
 			delete(b.waiting, id)
-			b.place(now, route, o.segment, &place{since: now, waited: o.since})
+			b.place(now, o.route, o.segment, &place{since: now, waited: o.since})
 		case now.Sub(o.since) >= waitLimit:
 			delete(b.waiting, id)
 			b.refuse(o.segment, o.reason, now.Sub(o.since), len(b.waiting))
@@ -89,36 +111,79 @@
 	}
 }
 
-// inOrder returns the flows that wait in the order in which they are served: those that can still be answered within their
-// latency objective before those that can't, so that a backlog does not make all later flows late too; then the
-// most urgent, then the oldest.
+// serveAt offers flows that wait to a target that has told of room, until there is none left. Under overload reports are
+// many and each has room for few flows, so that it would take too long to look for the best target of every one.
+func (b *Balancer) serveAt(now time.Time, t *target) {
+	for len(b.waiting) > 0 && t.takes(now) {
+		o := b.first(now, t)
+		if o == nil {
+			return
+		}
+		delete(b.waiting, o.segment.Flow)
+		b.placeAt(now, o.segment, &place{since: now, waited: o.since}, t, 1)
+	}
+}
+
+// first returns the flow that is served first of those that wait for a target of the same service.
+func (b *Balancer) first(now time.Time, t *target) *opening {
+	var best *opening
+	for _, o := range b.waiting {
+		b.describe(o)
+		if !o.routed || o.service != t.service || now.Before(t.lateUntil) && b.lateness(now, o) == 1 {
+			continue
+		}
+		if best == nil || b.compare(now, o, best) < 0 {
+			best = o
+		}
+	}
+	return best
+}
+
+// roomByService returns how many new flows the targets of each service may be given.
+func (b *Balancer) roomByService(now time.Time) map[state.ServiceName]int {
+	room := make(map[state.ServiceName]int)
+	for _, t := range b.targets {
+		switch {
+		case !t.takes(now):
+		case t.heardAt.IsZero():
+			room[t.service] += max(1, t.load.Slots)
+		default:
+			room[t.service] += t.load.Room - t.sent
+		}
+	}
+	return room
+}
+
+// inOrder returns the flows that wait in the order in which they are served.
 func (b *Balancer) inOrder(now time.Time) []*opening {
 	list := make([]*opening, 0, len(b.waiting))
 	for _, o := range b.waiting {
+		b.describe(o)
 		list = append(list, o)
 	}
-	slices.SortFunc(list, func(x, y *opening) int {
-		return cmp.Or(
-			b.lateness(now, x)-b.lateness(now, y),
-			b.route(x).Priority-b.route(y).Priority,
-			x.since.Compare(y.since),
-		)
-	})
+	slices.SortFunc(list, func(x, y *opening) int { return b.compare(now, x, y) })
 	return list
 }
 
-func (b *Balancer) route(o *opening) state.Route { return b.config.Routes[o.segment.Flow.Virtual] }
+// compare orders flows that wait: those that can still be answered within their latency objective before those that
+// can't, so that a backlog does not make all later flows late too; then the most urgent, then the oldest.
+func (b *Balancer) compare(now time.Time, x, y *opening) int {
+	return cmp.Or(
+		b.lateness(now, x)-b.lateness(now, y),
+		x.route.Priority-y.route.Priority,
+		x.since.Compare(y.since),
+	)
+}
 
 // lateness is 1 for a flow whose client has tried to open it for longer than its latency objective, and 0 otherwise.
 func (b *Balancer) lateness(now time.Time, o *opening) int {
-	if b.isLate(now, o.segment, o.since) {
+	if isLate(now, o.route.Target, o.segment, o.since) {
 		return 1
 	}
 	return 0
 }
 
-func (b *Balancer) canServe(now time.Time, route state.Route, o *opening) bool {
-	id := o.segment.Flow
-	t, _ := b.choose(now, route.Choose(id), id, nil, b.isLate(now, o.segment, o.since))
+func (b *Balancer) canServe(now time.Time, o *opening) bool {
+	t, _ := b.choose(now, o.service, o.segment.Flow, nil, b.lateness(now, o) == 1)
 	return t != nil
 }
--- a/core/proto/hops/hops_test.go
+++ b/core/proto/hops/hops_test.go
@@ -20,6 +20,16 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{byte(n >> 24), byte(n >> 16), byte(n >> 8), byte(n)}), port)
 }
 
+func drawFlows(t *rapid.T, name string) []state.FlowID {
+	var flows []state.FlowID
+	for range rapid.IntRange(0, relay.MaxFlows).Draw(t, name) {
+		flows = append(flows, state.FlowID{
+			Client: state.EndOf(drawAddress(t, name)), Virtual: state.EndOf(drawAddress(t, name)),
+		})
+	}
+	return flows
+}
+
 func drawMessage(t *rapid.T) relay.Message {
 	m := relay.Message{
 		Late: rapid.Bool().Draw(t, "late"),
@@ -32,10 +42,13 @@
 		Holder:  drawAddress(t, "holder"),
 		Reason:  relay.Reason(rapid.IntRange(0, 5).Draw(t, "reason")),
 		Target:  time.Duration(rapid.IntRange(0, 1e4).Draw(t, "target")) * time.Millisecond,
+		Flows:   drawFlows(t, "flows"),
+		Unsure:  drawFlows(t, "unsure"),
 		Packet:  rapid.SliceOfN(rapid.Byte(), 1, 1300).Draw(t, "packet"),
 	}
 	if m.Kind == relay.KindLoad {
 		m.Load = relay.Load{
+			Complete:    rapid.Bool().Draw(t, "complete"),
 			Takes:       rapid.Bool().Draw(t, "takes"),
 			Busy:        rapid.IntRange(0, 1000).Draw(t, "busy"),
 			MeanBusy:    float64(rapid.IntRange(0, 1000).Draw(t, "mean")) / 4,
--- a/core/proto/hops/relay.go
+++ b/core/proto/hops/relay.go
@@ -22,6 +22,8 @@
 	relayPacket
 	relayTargetMillis
 	relayLate
+	relayFlows
+	relayUnsure
 )
 
 // The field numbers of a load.
@@ -36,6 +38,7 @@
 	loadPeriodMillis
 	loadMeanBusyHundredths
 	loadRoom
+	loadComplete
 )
 
 const hundredths = 100
@@ -45,7 +48,7 @@
 	b = append(b, byte(SortRelay))
 	b = appendNumber(b, relayKind, uint64(m.Kind))
 	if m.Flow != (state.FlowID{}) {
-		b = appendBytes(b, relayFlow, append(endBytes(m.Flow.Client), endBytes(m.Flow.Virtual)...))
+		b = appendBytes(b, relayFlow, appendFlow(nil, m.Flow))
 	}
 	b = appendNumber(b, relayService, uint64(m.Service))
 	b = appendNumber(b, relayConfig, uint64(m.Config))
@@ -53,6 +56,8 @@
 	b = appendNumber(b, relayReason, uint64(m.Reason))
 	b = appendNumber(b, relayTargetMillis, uint64(max(0, m.Target.Milliseconds())))
 	b = appendNumber(b, relayLate, protowire.EncodeBool(m.Late))
+	b = appendFlows(b, relayFlows, m.Flows)
+	b = appendFlows(b, relayUnsure, m.Unsure)
 	if m.Kind == relay.KindLoad {
 		b = appendBytes(b, relayLoad, appendLoad(nil, m.Load))
 	}
@@ -69,9 +74,26 @@
 	b = appendNumber(b, loadWarmupMillis, uint64(max(0, l.Warmup.Milliseconds())))
 	b = appendNumber(b, loadPeriodMillis, uint64(max(0, l.Period.Milliseconds())))
 	b = appendNumber(b, loadMeanBusyHundredths, uint64(max(0, l.MeanBusy*hundredths)))
+	b = appendNumber(b, loadComplete, protowire.EncodeBool(l.Complete))
 	return appendNumber(b, loadRoom, uint64(max(0, l.Room)))
 }
 
+func appendFlow(b []byte, f state.FlowID) []byte {
+	return append(append(b, endBytes(f.Client)...), endBytes(f.Virtual)...)
+}
+
+// appendFlows appends flows as one field, one after the other.
+func appendFlows(b []byte, number protowire.Number, flows []state.FlowID) []byte {
+	if len(flows) == 0 {
+		return b
+	}
+	packed := make([]byte, 0, len(flows)*flowSize)
+	for _, f := range flows {
+		packed = appendFlow(packed, f)
+	}
+	return appendBytes(b, number, packed)
+}
+
 // DecodeRelay decodes a datagram of SortRelay. The packet shares memory with b.
 func DecodeRelay(b []byte) (relay.Message, error) {
 	var m relay.Message
@@ -110,6 +132,10 @@
 		err = eachField(f.bytes, func(l field) error { setLoad(&m.Load, l); return nil })
 	case relayPacket:
 		m.Packet = f.bytes
+	case relayFlows:
+		m.Flows, err = flowsFrom(f.bytes)
+	case relayUnsure:
+		m.Unsure, err = flowsFrom(f.bytes)
 	case relayLate:
 		m.Late = f.value != 0
 	case relayTargetMillis:
@@ -118,9 +144,27 @@
 	return err
 }
 
+// flowSize is the encoded size of a flow in bytes.
+const flowSize = 2 * endSize
+
+func flowsFrom(b []byte) ([]state.FlowID, error) {
+	if len(b)%flowSize != 0 || len(b) > relay.MaxFlows*flowSize {
+		return nil, errs.New(errs.BadInput, "list of flows of %d bytes", len(b))
+	}
+	flows := make([]state.FlowID, 0, len(b)/flowSize)
+	for ; len(b) > 0; b = b[flowSize:] {
+		f, err := flowFrom(b[:flowSize])
+		if err != nil {
+			return nil, err
+		}
+		flows = append(flows, f)
+	}
+	return flows, nil
+}
+
 func flowFrom(b []byte) (state.FlowID, error) {
-	if len(b) != 2*endSize {
-		return state.FlowID{}, errs.New(errs.BadInput, "flow of %d bytes instead of %d", len(b), 2*endSize)
+	if len(b) != flowSize {
+		return state.FlowID{}, errs.New(errs.BadInput, "flow of %d bytes instead of %d", len(b), flowSize)
 	}
 	client, _ := endFrom(b[:endSize])
 	virtual, err := endFrom(b[endSize:])
@@ -152,6 +196,8 @@
 		l.Warmup = duration(f.value, time.Millisecond)
 	case loadPeriodMillis:
 		l.Period = duration(f.value, time.Millisecond)
+	case loadComplete:
+		l.Complete = f.value != 0
 	case loadRoom:
 		l.Room = count
 	case loadMeanBusyHundredths:
--- a/io/node/agent.go
+++ b/io/node/agent.go
@@ -55,6 +55,7 @@
 	n.onTick = a.tick
 	n.onPause = a.gate.Paused
 	n.onMembers = a.members
+	n.onIdle = func() {}
 	n.start()
 	n.receive("target receiver", outbound, fromTarget)
 	return a, nil
--- a/io/node/balancer.go
+++ b/io/node/balancer.go
@@ -58,6 +58,7 @@
 	n.onTick = b.tick
 	n.onPause = b.steer.Paused
 	n.onMembers = b.members
+	n.onIdle = b.steer.Idle
 	n.start()
 	n.receive("client receiver", clients, fromClients)
 	g.Go("list writer", n.joiner.publish)
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -80,6 +80,8 @@
 	onTick    func(now time.Time)
 	onPause   func(gap time.Duration)
 	onMembers func(now time.Time, members []state.Member)
+	// onIdle is called when no further datagram waits.
+	onIdle func()
 }
 
 func newNode(g *group.Group, s Settings, codec Codec, directory Directory, log logs.Logger, set *metrics.Set,
@@ -182,16 +184,25 @@
 		case d := <-n.ring:
 			n.handle(time.Now(), d)
 			n.recycle(d.buffer)
+			n.rest()
 		case call := <-n.calls:
 			call(time.Now())
 		case <-ticker.C:
 			n.tick(time.Now())
+			n.rest()
 		case <-ctx.Done():
 			return nil
 		}
 	}
 }
 
+// rest tells that no further datagram waits.
+func (n *node) rest() {
+	if len(n.ring) == 0 {
+		n.onIdle()
+	}
+}
+
 func (n *node) tick(now time.Time) {
 	if gap := now.Sub(n.lastRun); gap > stallTime {
 		n.log.Part("process").Warn("the process was paused", "gap", gap)
