gate: reports of room are bounded in a large fleet

Cause: a full target's agent told all balancers of room up to 100 times a second: with 48 full targets a balancer took in up to 4,800 reports a second, more than 0.144 of a core can. Change: at most 300 such reports a second and agent (10 ms apart up to 3 balancers, 77 ms at 23). Test: TestReportsOfRoomAreBounded (failed before).

--- a/core/coord/gate/gate.go
+++ b/core/coord/gate/gate.go
@@ -59,8 +59,10 @@
 	silentHeartbeats = 2.5
 	// reportPeriod is the time between load reports to a balancer in a small fleet.
 	reportPeriod = 200 * time.Millisecond
-	// roomReportGap is the least time between two reports when room comes free at a full target.
-	roomReportGap = 10 * time.Millisecond
+	// roomReportGap is the least time between two reports when room comes free at a full target in a small fleet, and
+	// roomReportsPerSecond bounds them in a larger one.
+	roomReportGap        = 10 * time.Millisecond
+	roomReportsPerSecond = 300
 	// reportsPerSecond bounds the load reports of one gate: above it the period is stretched.
 	reportsPerSecond = 60
 	// firstRequestWait is how long a new flow counts as a request before its first one has come.
--- a/core/coord/gate/gate_test.go
+++ b/core/coord/gate/gate_test.go
@@ -519,3 +519,29 @@
 	w.g.Receive(w.now, second, ask, state.Segment{})
 	w.is.Equal(w.kinds(relay.KindAnswers)[0].Unsure, ask.Flows)
 }
+
+// Pattern: overload in a fleet with many balancers. A full target's agent tells of room as often as the balancers can take in, not
+// each time that a request ends.
+func TestReportsOfRoomAreBounded(t *testing.T) {
+	w := newWorld(t)
+	w.beat("t1", 1, false)
+	var list []netip.AddrPort
+	for n := range byte(60) {
+		list = append(list, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 2, n}), 7700))
+	}
+	w.g.SetBalancers(w.now, list)
+	w.clear()
+	end := w.now.Add(time.Second)
+	for n := uint16(0); w.now.Before(end); n++ {
+		for range 7 { // three times its two slots, and one more
+			n++
+			w.open(flow(n))
+			w.receive(relay.KindData, data(flow(n)))
+		}
+		for m := range uint16(7) {
+			w.answers(flow(n - m))
+		}
+		w.now = w.now.Add(10 * time.Millisecond)
+	}
+	w.is.True(len(w.kinds(relay.KindLoad)) <= 300)
+}
--- a/core/coord/gate/inbound.go
+++ b/core/coord/gate/inbound.go
@@ -164,7 +164,7 @@
 	f.busy = false
 	g.busy--
 	news := g.toldFull && g.room() > 0 || g.toldBusy && g.hasFreeSlot()
-	if news && now.Sub(g.lastReport) >= roomReportGap {
+	if news && now.Sub(g.lastReport) >= g.roomGap() {
 		g.report(now)
 	}
 	took := now.Sub(f.busySince)
--- a/core/coord/gate/tick.go
+++ b/core/coord/gate/tick.go
@@ -66,6 +66,11 @@
 	return max(reportPeriod, time.Duration(len(g.owners.All()))*time.Second/reportsPerSecond)
 }
 
+// roomGap is the least time between a report and one that tells of new room.
+func (g *Gate) roomGap() time.Duration {
+	return max(roomReportGap, time.Duration(len(g.owners.All()))*time.Second/roomReportsPerSecond)
+}
+
 func (g *Gate) load(now time.Time) relay.Message {
 	reason := g.refusal()
 	return relay.Message{
