steer: a waiting flow that opens elsewhere is not refused

A copy of an opening packet waited for room while a target that had been offered the flow before took it late; neither its held message nor the client's further packets ended the wait, and after 1 s the balancer refused the flow by a reset. Ruled out: agents that denied the flow (no search precedes the resets). Change: both end the wait; a flow that a target left unanswered is dropped silently in place of a reset (doubted reason=unanswered). Tests: TestWaitingFlowThatOpensElsewhereIsNotRefused, TestFlowOfferedToASilentTargetIsNotReset (both failed before).

--- a/core/coord/steer/choose.go
+++ b/core/coord/steer/choose.go
@@ -62,19 +62,26 @@
 	}
 	if reason == relay.ReasonFull || b.expects(now, service) {
 		delete(b.flows, seg.Flow)
-		b.wait(now, seg, p.waited, reason)
+		b.wait(now, seg, p, reason)
 		return
 	}
-	b.refuse(seg, reason, 0, weighed)
+	b.refuse(seg, p.unanswered, relay.Decision{Reason: reason, Count: weighed})
 }
 
-// refuse resets a new flow that has waited for a time: it has not opened, so nothing of it has run.
-func (b *Balancer) refuse(seg state.Segment, reason relay.Reason, waited time.Duration, count int) {
+// refuse resets a new flow: it has not opened, so nothing of it has run. One that a target may take yet is only dropped.
+func (b *Balancer) refuse(seg state.Segment, unanswered bool, d relay.Decision) {
 	delete(b.flows, seg.Flow)
-	b.do.Note(relay.Decision{
-		Event: relay.EventRefused, Flow: seg.Flow, Reason: reason, Config: b.config.Version, Age: waited, Count: count,
-	})
-	b.do.Reset(seg.Flow, seg.Acknowledged)
+	d.Flow = seg.Flow
+	d.Config = b.config.Version
+	d.Event = relay.EventRefused
+	if unanswered {
+		d.Event = relay.EventDoubted
+		d.Reason = relay.ReasonUnanswered
+	}
+	b.do.Note(d)
+	if !unanswered {
+		b.do.Reset(seg.Flow, seg.Acknowledged)
+	}
 }
 
 // repeat handles a copy of an opening packet: it goes to the same target, unless that left the first unanswered.
@@ -84,6 +91,7 @@
 		return
 	}
 	p.target.avoidUntil = now.Add(quietPenalty)
+	p.unanswered = true
 	p.tried = append(p.tried, p.target)
 	b.place(now, route, seg, p)
 }
--- a/core/coord/steer/choose_test.go
+++ b/core/coord/steer/choose_test.go
@@ -175,3 +175,55 @@
 	offered, _ = w.last(relay.KindOpen)
 	w.is.Equal(offered.Flow, flow(1))
 }
+
+// waitingFlow makes a flow wait at a balancer whose only target is full.
+func waitingFlow(t *testing.T) *world {
+	w := newWorld(t)
+	w.b.Configure(config(1, service))
+	w.members(1)
+	w.report(1, relay.Load{Takes: true, Room: 0, Slots: 4, Period: time.Minute})
+	w.b.Packet(w.now, opens(flow(1), 0))
+	w.is.Equal(w.count(relay.KindOpen), 0)
+	return w
+}
+
+// waitOut lets the time pass after which a flow that waits is refused.
+func (w *world) waitOut() {
+	w.now = w.now.Add(2 * time.Second)
+	w.b.Tick(w.now)
+}
+
+func TestWaitingFlowIsRefused(t *testing.T) {
+	w := waitingFlow(t)
+	w.waitOut()
+	w.is.Equal(w.resets, []state.FlowID{flow(1)})
+}
+
+// Pattern: overload. A copy of the opening packet waits here while a target, offered the flow before, takes it late.
+func TestWaitingFlowThatOpensElsewhereIsNotRefused(t *testing.T) {
+	w := waitingFlow(t)
+	w.held(agent(1), agent(1), flow(1))
+	w.waitOut()
+	w.is.Equal(len(w.resets), 0)
+
+	w = waitingFlow(t)
+	w.b.Packet(w.now, data(flow(1))) // the client has heard from a target
+	w.held(agent(1), agent(1), flow(1))
+	w.waitOut()
+	w.is.Equal(len(w.resets), 0)
+}
+
+// Pattern: the same. A target that left the opening packet unanswered may still take it; its client must not be reset.
+func TestFlowOfferedToASilentTargetIsNotReset(t *testing.T) {
+	w := newWorld(t)
+	w.b.Configure(config(1, service))
+	w.members(1)
+	w.report(1, relay.Load{Takes: true, Room: 4, Slots: 4, Period: time.Minute})
+	w.b.Packet(w.now, opens(flow(1), 0))
+	w.is.Equal(w.count(relay.KindOpen), 1)
+	w.now = w.now.Add(200 * time.Millisecond)
+	w.b.Packet(w.now, opens(flow(1), 1))
+	w.report(1, relay.Load{Takes: true, Room: 0, Slots: 4, Period: time.Minute})
+	w.waitOut()
+	w.is.Equal(len(w.resets), 0)
+}
--- a/core/coord/steer/receive.go
+++ b/core/coord/steer/receive.go
@@ -55,6 +55,7 @@
 	if t == nil || t.service.ID() != m.Service {
 		return
 	}
+	delete(b.waiting, m.Flow)
 	p := b.flows[m.Flow]
 	switch {
 	case p != nil && p.confirmed && p.target != t && p.target.runs():
--- a/core/coord/steer/search.go
+++ b/core/coord/steer/search.go
@@ -191,7 +191,7 @@
 // placeSearched offers a new flow whose place no owner knows.
 func (b *Balancer) placeSearched(now time.Time, s *search) {
 	if b.config.Version == 0 {
-		b.wait(now, s.segment, s.since, relay.ReasonNotReady)
+		b.wait(now, s.segment, &place{waited: s.since}, relay.ReasonNotReady)
 		return
 	}
 	route, ok := b.config.Routes[s.segment.Flow.Virtual]
--- a/core/coord/steer/steer.go
+++ b/core/coord/steer/steer.go
@@ -75,6 +75,8 @@
 	confirmed bool
 	// waited is when the flow began to wait for a target; zero if it did not.
 	waited time.Time
+	// unanswered is true if a target was offered the flow and did not answer: it may take it yet.
+	unanswered bool
 	// full is true if a target that did not take the flow was full.
 	full bool
 	// tried are the targets that did not take the flow.
@@ -139,8 +141,12 @@
 		s.hold(seg.Packet)
 		return
 	}
-	if _, waits := b.waiting[seg.Flow]; waits && seg.Opens {
-		return
+	if _, waits := b.waiting[seg.Flow]; waits {
+		if seg.Opens {
+			return
+		}
+		// The client has heard from a target that was offered the flow before.
+		delete(b.waiting, seg.Flow)
 	}
 	if p := b.flows[seg.Flow]; p != nil {
 		b.known(now, route, seg, p)
@@ -148,7 +154,7 @@
 	}
 	switch {
 	case seg.Opens && b.config.Version == 0:
-		b.wait(now, seg, time.Time{}, relay.ReasonNotReady)
+		b.wait(now, seg, &place{}, relay.ReasonNotReady)
 	case seg.Opens && seg.Acknowledged == 0:
 		b.place(now, route, seg, &place{since: now})
 	default:
--- a/core/coord/steer/waiting.go
+++ b/core/coord/steer/waiting.go
@@ -24,6 +24,8 @@
 type opening struct {
 	segment state.Segment
 	since   time.Time
+	// unanswered is true if a target was offered the flow and did not answer: it may take it yet.
+	unanswered bool
 	// reason is why the flow could not be placed at once.
 	reason relay.Reason
 	// version is the configuration that route and service are from; routed is false if it has no route for the flow.
@@ -34,26 +36,35 @@
 }
 
 // wait keeps a new flow for a moment, or refuses it if too many wait. A flow that waited before, and was then offered
-// in vain, goes on waiting from the time since.
-func (b *Balancer) wait(now time.Time, seg state.Segment, since time.Time, reason relay.Reason) {
+// in vain, goes on waiting from then.
+func (b *Balancer) wait(now time.Time, seg state.Segment, p *place, reason relay.Reason) {
 	if _, known := b.waiting[seg.Flow]; known {
 		return
 	}
-	again := !since.IsZero()
-	if !again {
-		since = now
-	}
+	o := &opening{segment: seg, since: p.waited, unanswered: p.unanswered, reason: reason}
 	if len(b.waiting) >= maxWaiting {
-		b.refuse(seg, reason, now.Sub(since), len(b.waiting))
+		b.refuseWaiting(now, o)
 		return
 	}
-	if !again {
+	if o.since.IsZero() {
+		o.since = now
 		b.do.Note(relay.Decision{
 			Event: relay.EventWaits, Flow: seg.Flow, Reason: reason, Config: b.config.Version, Count: len(b.waiting),
 		})
 	}
-	seg.Packet = append([]byte(nil), seg.Packet...)
-	b.waiting[seg.Flow] = &opening{segment: seg, since: since, reason: reason}
+	o.segment.Packet = append([]byte(nil), seg.Packet...)
+	b.waiting[seg.Flow] = o
+}
+
+func (b *Balancer) refuseWaiting(now time.Time, o *opening) {
+	b.refuse(o.segment, o.unanswered, relay.Decision{
+		Reason: o.reason, Age: relay.AgeOf(now, o.since), Count: len(b.waiting),
+	})
+}
+
+// placeOf returns the place of a flow that waited.
+func placeOf(now time.Time, o *opening) *place {
+	return &place{since: now, waited: o.since, unanswered: o.unanswered}
 }
 
 // describe looks up the route of a flow that waits, if the configuration has changed.
@@ -103,10 +114,10 @@
 		case o.routed && room[o.service] > 0 && b.canServe(now, o):
 			room[o.service]--
 			delete(b.waiting, id)
-			b.place(now, o.route, o.segment, &place{since: now, waited: o.since})
+			b.place(now, o.route, o.segment, placeOf(now, o))
 		case now.Sub(o.since) >= waitLimit:
 			delete(b.waiting, id)
-			b.refuse(o.segment, o.reason, now.Sub(o.since), len(b.waiting))
+			b.refuseWaiting(now, o)
 		}
 	}
 }
@@ -120,7 +131,7 @@
 			return
 		}
 		delete(b.waiting, o.segment.Flow)
-		b.placeAt(now, o.segment, &place{since: now, waited: o.since}, t, 1)
+		b.placeAt(now, o.segment, placeOf(now, o), t, 1)
 	}
 }
 
