node, steer: what other nodes tell goes before clients' packets; a balancer that falls behind does not judge by silence

Ruled out: the agent (it reported to others, and its target served), the network (no fault on its links). Change: a ring for each source; a balancer empties that of other nodes first; if datagrams of nodes were dropped all the same, silence and deaths prove nothing for 2 s, and a line tells of it.

--- a/core/coord/steer/lost_test.go
+++ b/core/coord/steer/lost_test.go
@@ -113,3 +113,26 @@
 	}
 	w.is.Equal(events, []relay.Event{relay.EventAgentSilent, relay.EventAgentHeard})
 }
+
+// Pattern: a burst of clients at a small machine. A balancer that falls behind drops load reports, and must not take their
+// senders for silent or dead.
+func TestBalancerThatFallsBehindDoesNotJudgeBySilence(t *testing.T) {
+	for _, dead := range []bool{false, true} {
+		w := newWorld(t)
+		w.b.Configure(configWith(func(r *state.Route) { r.Idempotent = true }))
+		w.settled(1, 2, 3, 4, 5)
+		w.held(agent(1), agent(1), flow(1))
+		if dead {
+			w.b.SetMembers(w.now, []state.Member{
+				member(1, service, state.HealthDead), member(2, service, state.HealthAlive), member(3, service, state.HealthAlive),
+			})
+		}
+		w.pass(3*time.Second, 2, 3, 4, 5)
+		w.b.Missed(w.now)
+		w.b.Packet(w.now, data(flow(1)))
+		w.is.Equal(len(w.resets), 0)
+		w.pass(3*time.Second, 2, 3, 4, 5)
+		w.b.Packet(w.now, data(flow(1)))
+		w.is.Equal(len(w.resets), 1)
+	}
+}
--- a/core/coord/steer/steer.go
+++ b/core/coord/steer/steer.go
@@ -63,6 +63,8 @@
 	lastArrival time.Time
 	nextSweep   time.Time
 	nextLook    time.Time
+	// missedAt is when messages of other nodes were last dropped here.
+	missedAt time.Time
 	// asking are the targets for which questions have gathered.
 	asking []*target
 }
@@ -165,7 +167,7 @@
 // known handles a packet of a flow whose place is known.
 func (b *Balancer) known(now time.Time, route state.Route, seg state.Segment, p *place) {
 	switch {
-	case p.target.lost(now):
+	case p.target.lost(now) && !b.missedLately(now):
 		b.drop(now, seg, p)
 	case route.Idempotent && !seg.Opens && p.target.silent(now) && b.hearsMost(now):
 		b.drop(now, seg, p)
--- a/core/coord/steer/target.go
+++ b/core/coord/steer/target.go
@@ -22,6 +22,9 @@
 	// flows whose requests may be repeated are given up: a process that was killed is back by then.
 	silenceLimit   = time.Second
 	silenceReports = 5
+	// missedTime is for how long a balancer that dropped messages of other nodes does not judge by silence: longer than any
+	// silence that counts.
+	missedTime = 2 * time.Second
 	// heardShare of heardOf of the agents must be heard for the silence of one to be its own, and not this balancer's.
 	heardShare = 1
 	heardOf    = 2
@@ -266,6 +269,14 @@
 	}
 }
 
+// Missed notes that messages of other nodes were dropped here: whoever seems silent may have been heard.
+func (b *Balancer) Missed(now time.Time) { b.missedAt = now }
+
+// missedLately reports whether silence proves nothing, because this balancer has fallen behind.
+func (b *Balancer) missedLately(now time.Time) bool {
+	return !b.missedAt.IsZero() && now.Sub(b.missedAt) < missedTime
+}
+
 // Row is what a balancer knows of one target, for people.
 type Row struct {
 	Address netip.AddrPort
@@ -309,6 +320,9 @@
 
 // hearsMost reports whether most agents are heard, so that the silence of one is not this balancer's own.
 func (b *Balancer) hearsMost(now time.Time) bool {
+	if b.missedLately(now) {
+		return false
+	}
 	heard, all := 0, 0
 	for _, t := range b.targets {
 		if !t.runs() {
--- a/io/node/agent.go
+++ b/io/node/agent.go
@@ -54,6 +54,7 @@
 	n.onPacket = a.packet
 	n.onTick = a.tick
 	n.onPause = a.gate.Paused
+	n.onMissed = func(time.Time) {}
 	n.onMembers = a.members
 	n.onIdle = func() {}
 	n.start()
--- a/io/node/balancer.go
+++ b/io/node/balancer.go
@@ -56,7 +56,9 @@
 	n.onRelay = b.steer.Receive
 	n.onPacket = b.packet
 	n.onTick = b.tick
+	n.nodesFirst = true
 	n.onPause = b.steer.Paused
+	n.onMissed = b.steer.Missed
 	n.onMembers = b.members
 	n.onIdle = b.steer.Idle
 	n.start()
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -21,8 +21,10 @@
 )
 
 const (
-	// ringSize is how many datagrams wait for the owner of the state; more are dropped, as a full socket would.
+	// ringSize is how many datagrams of a source wait for the owner of the state; more are dropped, as a full socket would.
 	ringSize = 512
+	// nodesBatch is how many datagrams of other nodes a balancer handles before it looks at anything else.
+	nodesBatch = 32
 	// callsSize is how many calls of other duties wait.
 	callsSize = 64
 	// datagramSize is the size of a receive buffer in bytes: the largest packet, a full gossip message and headers.
@@ -40,8 +42,12 @@
 	fromNodes source = iota
 	fromClients
 	fromTarget
+	sourceCount
 )
 
+// String returns the source's name in metrics.
+func (s source) String() string { return [...]string{"nodes", "clients", "target"}[s] }
+
 // datagram is one received datagram.
 type datagram struct {
 	source source
@@ -61,11 +67,17 @@
 	fleet    *fleet
 	joiner   *joiner
 	internal *net.UDPConn
-	ring     chan datagram
-	free     chan []byte
-	calls    chan func(now time.Time)
-	// dropped counts datagrams that found the ring full.
-	dropped *metrics.Counter
+	// rings has the datagrams of each source that wait.
+	rings [sourceCount]chan datagram
+	// nodesFirst is true if what other nodes tell goes before the packets of clients: a process that falls behind must not
+	// take others for silent.
+	nodesFirst bool
+	free       chan []byte
+	calls      chan func(now time.Time)
+	// dropped counts the datagrams of each source that found the ring full.
+	dropped [sourceCount]*metrics.Counter
+	// missed counts those of other nodes since the last tick.
+	missed atomic.Uint32
 	// unreadable counts datagrams and packets that could not be decoded.
 	unreadable *metrics.Counter
 	unsent     *metrics.Counter
@@ -75,10 +87,12 @@
 	lastRun time.Time
 
 	// The following are set by the balancer or the agent. They run on the owner of the state.
-	onRelay   func(now time.Time, from netip.AddrPort, m relay.Message, seg state.Segment)
-	onPacket  func(now time.Time, from source, seg state.Segment)
-	onTick    func(now time.Time)
-	onPause   func(gap time.Duration)
+	onRelay  func(now time.Time, from netip.AddrPort, m relay.Message, seg state.Segment)
+	onPacket func(now time.Time, from source, seg state.Segment)
+	onTick   func(now time.Time)
+	onPause  func(gap time.Duration)
+	// onMissed is called when datagrams of other nodes were dropped.
+	onMissed  func(now time.Time)
 	onMembers func(now time.Time, members []state.Member)
 	// onIdle is called when no further datagram waits.
 	onIdle func()
@@ -98,13 +112,15 @@
 		log:        log,
 		metrics:    set,
 		internal:   conn,
-		ring:       make(chan datagram, ringSize),
 		free:       make(chan []byte, ringSize),
 		calls:      make(chan func(time.Time), callsSize),
-		dropped:    set.NewCounter("monsoonstep_datagrams_dropped_total"),
 		unreadable: set.NewCounter("monsoonstep_datagrams_unreadable_total"),
 		unsent:     set.NewCounter("monsoonstep_datagrams_unsent_total"),
 	}
+	for s := range sourceCount {
+		n.rings[s] = make(chan datagram, ringSize)
+		n.dropped[s] = set.NewCounter(`monsoonstep_datagrams_dropped_total{from="` + s.String() + `"}`)
+	}
 	n.notes = newNotes(log.Part("flows"), set)
 	n.fleet = newFleet(s, self, log.Part("fleet"))
 	n.joiner = newJoiner(n, directory)
@@ -151,9 +167,12 @@
 
 func (n *node) push(d datagram) {
 	select {
-	case n.ring <- d:
+	case n.rings[d.source] <- d:
 	default:
-		n.dropped.Inc()
+		n.dropped[d.source].Inc()
+		if d.source == fromNodes {
+			n.missed.Add(1)
+		}
 		n.recycle(d.buffer)
 	}
 }
@@ -180,11 +199,16 @@
 	defer ticker.Stop()
 	n.lastRun = time.Now()
 	for {
+		if n.nodesFirst {
+			n.handleNodes()
+		}
 		select {
-		case d := <-n.ring:
-			n.handle(time.Now(), d)
-			n.recycle(d.buffer)
-			n.rest()
+		case d := <-n.rings[fromNodes]:
+			n.take(d)
+		case d := <-n.rings[fromClients]:
+			n.take(d)
+		case d := <-n.rings[fromTarget]:
+			n.take(d)
 		case call := <-n.calls:
 			call(time.Now())
 		case <-ticker.C:
@@ -196,11 +220,32 @@
 	}
 }
 
+// handleNodes handles datagrams of other nodes that wait, up to a batch of them.
+func (n *node) handleNodes() {
+	for range nodesBatch {
+		select {
+		case d := <-n.rings[fromNodes]:
+			n.take(d)
+		default:
+			return
+		}
+	}
+}
+
+func (n *node) take(d datagram) {
+	n.handle(time.Now(), d)
+	n.recycle(d.buffer)
+	n.rest()
+}
+
 // rest tells that no further datagram waits.
 func (n *node) rest() {
-	if len(n.ring) == 0 {
-		n.onIdle()
+	for _, ring := range n.rings {
+		if len(ring) > 0 {
+			return
+		}
 	}
+	n.onIdle()
 }
 
 func (n *node) tick(now time.Time) {
@@ -209,6 +254,10 @@
 		n.onPause(gap - tickPeriod)
 	}
 	n.lastRun = now
+	if missed := n.missed.Swap(0); missed > 0 {
+		n.log.Part("process").Warn("datagrams of other nodes were dropped: the process falls behind", "count", missed)
+		n.onMissed(now)
+	}
 	n.sendGossip(n.fleet.tick(now))
 	n.updateMembers(now)
 	n.onTick(now)
