gate: a target that started with its agent holds no flows

Ruled out: questions by name as such (they work where agents know), reports that were lost. Change: an agent also knows all flows of a target that is at most 0.2 s older than itself, by the clock that both share, and that says it is still slow after its start. Test: TestTargetThatStartedWithTheAgentHoldsNoFlows (its first case failed before).

--- a/core/coord/gate/gate.go
+++ b/core/coord/gate/gate.go
@@ -86,6 +86,7 @@
 	settings Settings
 	do       Actions
 	target   target
+	started  time.Time
 	// flows holds every flow that the target is known to hold, or was offered.
 	flows map[state.FlowID]*flow
 	// owners knows the balancers that are thought to be running.
@@ -159,6 +160,7 @@
 func New(now time.Time, settings Settings, do Actions) *Gate {
 	return &Gate{
 		target:      target{heard: now},
+		started:     now,
 		settings:    settings,
 		do:          do,
 		flows:       make(map[state.FlowID]*flow),
--- a/core/coord/gate/gate_test.go
+++ b/core/coord/gate/gate_test.go
@@ -545,3 +545,28 @@
 	}
 	w.is.True(len(w.kinds(relay.KindLoad)) <= 300)
 }
+
+// Pattern: a machine has lost power. Its target is up a moment before the agent, which misses the first heartbeats. Nobody can
+// have opened flows there, so the agent knows that it holds none; beside a target that ran before, it does not.
+func TestTargetThatStartedWithTheAgentHoldsNoFlows(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		age      time.Duration
+		warmup   time.Duration
+		complete bool
+	}{
+		{"started just before", 150 * time.Millisecond, time.Second, true},
+		{"ran before", 900 * time.Millisecond, time.Second, false},
+		{"clock has gone back, and the target is no longer slow", 150 * time.Millisecond, 0, false},
+		{"unknown age", -1, time.Second, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(t)
+			w.now = w.now.Add(100 * time.Millisecond)
+			w.g.Heartbeat(w.now, gate.Heartbeat{
+				ID: "t1", Born: 1, Sequence: 3, Service: service, Slots: 2, Age: c.age, Warmup: c.warmup,
+			})
+			w.is.Equal(w.g.Summary(w.now).Complete, c.complete)
+		})
+	}
+}
--- a/core/coord/gate/target.go
+++ b/core/coord/gate/target.go
@@ -14,7 +14,9 @@
 type Heartbeat struct {
 	ID TargetID
 	// Born is when the target started, by its own clock; zero if it does not say.
-	Born     state.Millis
+	Born state.Millis
+	// Age is for how long the target has run, by the clock of the machine that it shares with the agent; negative if unknown.
+	Age      time.Duration
 	Sequence uint64
 	Service  state.ServiceName
 	Slots    int
@@ -41,6 +43,10 @@
 // firstSequence is the sequence number of a target's first heartbeats: a gate that hears it has seen the target start.
 const firstSequence = 1
 
+// startGap is how long before the agent a target may start and still have got no flows by an earlier process of the agent:
+// that one would have had to hear of the target, end, and be started again within it.
+const startGap = 200 * time.Millisecond
+
 // target is what the gate knows of its target.
 type target struct {
 	known    bool
@@ -118,11 +124,18 @@
 		known:    true,
 		id:       h.ID,
 		born:     h.Born,
-		complete: former.known || h.Sequence <= firstSequence,
+		complete: former.known || h.Sequence <= firstSequence || g.startedWith(now, h),
 		past:     past,
 	}
 }
 
+// startedWith reports whether the target started with this agent or after it, so that no earlier process of the agent can have
+// brought it flows. A step of the clock between the two starts could make a target seem younger than it is: one that says that it
+// is no longer slow is not believed to be new.
+func (g *Gate) startedWith(now time.Time, h Heartbeat) bool {
+	return h.Warmup > 0 && h.Age >= 0 && h.Age <= now.Sub(g.started)+startGap
+}
+
 // refresh takes in a heartbeat of the present target; served tells whether the gate offered a target before it.
 func (g *Gate) refresh(now time.Time, h Heartbeat, served bool) {
 	t := &g.target
--- a/io/node/agent.go
+++ b/io/node/agent.go
@@ -64,11 +64,20 @@
 
 // Heartbeat takes in what the target says of itself.
 func (a *Agent) Heartbeat(ctx context.Context, h gate.Heartbeat) (gate.Verdict, error) {
+	h.Age = ageOf(h.Born)
 	var verdict gate.Verdict
 	err := a.call(ctx, func(now time.Time) { verdict = a.gate.Heartbeat(now, h) })
 	return verdict, err
 }
 
+// ageOf returns for how long a target has run, by the clock that it shares with this process; negative if that is unknown.
+func ageOf(born state.Millis) time.Duration {
+	if born == 0 {
+		return -1
+	}
+	return time.Since(time.UnixMilli(int64(born)))
+}
+
 // Deregister notes that a target ends. It reports whether it was the present one.
 func (a *Agent) Deregister(ctx context.Context, id gate.TargetID) (bool, error) {
 	var present bool
