gate, steer: an agent that left without a target is known to hold no flows

The balancer had started in between and never got the load report that said so, so it took the agent for one that is started again beside its target, and clients of flows that nobody holds were not told for 8 s. Ruled out: overload (the other balancers answered), an agent that is silent by a fault. Change: the phase in the membership tells that an agent's target has ended (empty); one that leaves so holds nothing. Test: TestAgentThatLeftWithoutATargetIsNotAsked (failed before).

--- a/core/coord/gate/target.go
+++ b/core/coord/gate/target.go
@@ -258,7 +258,9 @@
 // Phase returns how far the target is in its life.
 func (g *Gate) Phase() state.Phase {
 	switch {
-	case !g.target.known || g.target.gone:
+	case g.target.gone:
+		return state.PhaseEmpty
+	case !g.target.known:
 		return state.PhaseStarting
 	case g.target.draining || g.stopping:
 		return state.PhaseDraining
--- a/core/coord/steer/lost_test.go
+++ b/core/coord/steer/lost_test.go
@@ -136,3 +136,21 @@
 		w.is.Equal(len(w.resets), 1)
 	}
 }
+
+// Pattern: all machines lost power, and some are taken away for good at once, their targets first. A balancer that starts meanwhile
+// may never get a load report of such an agent; the membership tells that it has left without a target.
+func TestAgentThatLeftWithoutATargetIsNotAsked(t *testing.T) {
+	w := newWorld(t)
+	w.settled(1)
+	left := member(2, service, state.HealthAlive)
+	left.Phase = state.PhaseEmpty
+	w.b.SetMembers(w.now, []state.Member{member(1, service, state.HealthAlive), left})
+	left.Health = state.HealthLeft
+	w.b.SetMembers(w.now, []state.Member{member(1, service, state.HealthAlive), left})
+	w.pass(time.Second, 1)
+	w.clear()
+	w.b.Packet(w.now, data(flow(1)))
+	w.is.Equal(w.count(relay.KindAsk), 1)
+	w.notHeld(agent(1), flow(1), noPacket)
+	w.is.Equal(w.resets, []state.FlowID{flow(1)})
+}
--- a/core/coord/steer/target.go
+++ b/core/coord/steer/target.go
@@ -76,7 +76,7 @@
 	case state.HealthDead:
 		return now.Sub(t.heardAt) > lostAfter
 	case state.HealthLeft:
-		return t.load.Reason == relay.ReasonGone || now.Sub(t.changedAt) > plannedAbsence
+		return t.load.Reason == relay.ReasonGone || t.phase == state.PhaseEmpty || now.Sub(t.changedAt) > plannedAbsence
 	default:
 		return false
 	}
@@ -120,7 +120,8 @@
 
 // isStarting reports whether the agent runs, and started so recently that it may not have heard from its target.
 func (t *target) isStarting(now time.Time) bool {
-	return t.runs() && t.phase == state.PhaseStarting && now.Sub(t.startedAt) < startTime
+	waits := t.phase == state.PhaseStarting || t.phase == state.PhaseEmpty
+	return t.runs() && waits && now.Sub(t.startedAt) < startTime
 }
 
 // SetMembers takes in the membership.
--- a/core/proto/wire/gossip.go
+++ b/core/proto/wire/gossip.go
@@ -139,7 +139,7 @@
 	if pb.GetId() == "" || len(pb.GetId()) > maxNameLen {
 		return state.Member{}, errs.New(errs.BadInput, "member has a name of %d bytes", len(pb.GetId()))
 	}
-	if pb.GetHealth() > uint32(state.HealthLeft) || pb.GetPhase() > uint32(state.PhaseDraining) {
+	if pb.GetHealth() > uint32(state.HealthLeft) || pb.GetPhase() > uint32(state.PhaseEmpty) {
 		return state.Member{}, errs.New(errs.BadInput, "member %q has an unknown health or phase", pb.GetId())
 	}
 	m := state.Member{
--- a/core/state/member.go
+++ b/core/state/member.go
@@ -34,11 +34,13 @@
 	PhaseServing
 	// PhaseDraining carries its flows to their end and takes nothing new.
 	PhaseDraining
+	// PhaseEmpty takes no work and has no flows: the target has ended.
+	PhaseEmpty
 )
 
 // String returns the phase's name.
 func (p Phase) String() string {
-	return [...]string{"starting", "serving", "draining"}[min(p, PhaseDraining)]
+	return [...]string{"starting", "serving", "draining", "empty"}[min(p, PhaseEmpty)]
 }
 
 // Health is what the fleet believes of a member.
