--- a/core/coord/steer/search_test.go
+++ b/core/coord/steer/search_test.go
@@ -89,26 +89,27 @@
 	w.is.Equal(len(w.resets), 0)
 }
 
-// A balancer that has just started may not know all agents, so denials of those that it knows prove nothing.
-func TestNoResetBeforeTheAgentsAreKnown(t *testing.T) {
+// deniedAtStart makes a balancer that has just started look for a flow, which the only agent that it knows denies.
+func deniedAtStart(t *testing.T) *world {
 	w := newWorld(t)
 	w.b.Configure(config(1, service))
 	w.members(1)
 	w.report(1, relay.Load{Takes: true, Room: 40, Period: time.Second})
 	w.b.Packet(w.now, data(flow(1)))
 	w.notHeld(agent(1), flow(1), noPacket)
+	return w
+}
+
+// A balancer that has just started may not know all agents, so denials of those that it knows prove nothing.
+func TestNoResetBeforeTheAgentsAreKnown(t *testing.T) {
+	w := deniedAtStart(t)
 	w.is.Equal(len(w.resets), 0)
 }
 
 // Pattern: all machines lost power. A flow that every known agent denied is given up as soon as no further agent can be
 // expected, without waiting for the client's next copy.
 func TestDeniedFlowIsResetOnceTheAgentsAreKnown(t *testing.T) {
-	w := newWorld(t)
-	w.b.Configure(config(1, service))
-	w.members(1)
-	w.report(1, relay.Load{Takes: true, Room: 40, Period: time.Second})
-	w.b.Packet(w.now, data(flow(1)))
-	w.notHeld(agent(1), flow(1), noPacket)
+	w := deniedAtStart(t)
 	w.pass(300*time.Millisecond, 1)
 	w.is.Equal(len(w.resets), 0)
 	w.members(1, 2) // another one has appeared, and is asked
