test: FLEET_NET keeps two runs of the tests apart

Both runs number their fleets from 100, and the second talked to the first one's platform. Change: FLEET_NET is added to the number of each fleet.

--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -51,9 +52,24 @@
 	pollPause  = 50 * time.Millisecond
 )
 
-// New makes the keys and certificates of a fleet. The programs must have been built into bin.
+// netOffset is added to the number of each fleet, so that two runs of the tests at once do not meet: the second would talk to
+// the first one's platform.
+func netOffset() (int, error) {
+	text := os.Getenv("FLEET_NET")
+	if text == "" {
+		return 0, nil
+	}
+	return strconv.Atoi(text)
+}
+
+// New makes the keys and certificates of a fleet. The programs must have been built into bin. The environment variable FLEET_NET
+// is added to the number.
 func New(dir, bin string, number int) (*Fleet, error) {
-	f := &Fleet{Dir: dir, Net: number, Settle: 2 * time.Second, Fabrics: make(map[string]*Process)}
+	offset, err := netOffset()
+	if err != nil {
+		return nil, fmt.Errorf("FLEET_NET: %w", err)
+	}
+	f := &Fleet{Dir: dir, Net: number + offset, Settle: 2 * time.Second, Fabrics: make(map[string]*Process)}
 	for _, program := range []string{"monsoonstep", "stand"} {
 		if err := os.Symlink(filepath.Join(bin, program), filepath.Join(dir, program)); err != nil {
 			return nil, err
