steer, gate, node: last read: the best target of a waiting flow is looked for once; no compression of a configuration that is not newer

Cause: read of the whole change: on a tick serveWaiting looked for the best target of each flow that waits (canServe), and place looked for it again; take compressed every configuration that was read or fetched before it knew whether it was newer; the two report periods of the gate were the same formula; dumpMember is used in its package only; three tests of steer open alike. Ruled out: a change of behaviour: choose gets the same arguments, and a version that is not newer was turned down by Configure before.

--- a/core/coord/gate/tick.go
+++ b/core/coord/gate/tick.go
@@ -63,12 +63,17 @@
 }
 
 func (g *Gate) reportPeriod() time.Duration {
-	return max(reportPeriod, time.Duration(len(g.owners.All()))*time.Second/reportsPerSecond)
+	return g.stretched(reportPeriod, reportsPerSecond)
 }
 
 // roomGap is the least time between a report and one that tells of new room.
 func (g *Gate) roomGap() time.Duration {
-	return max(roomReportGap, time.Duration(len(g.owners.All()))*time.Second/roomReportsPerSecond)
+	return g.stretched(roomReportGap, roomReportsPerSecond)
+}
+
+// stretched returns a time between two messages to all balancers, made longer if they would be more than a number a second.
+func (g *Gate) stretched(least time.Duration, perSecond int) time.Duration {
+	return max(least, time.Duration(len(g.owners.All()))*time.Second/time.Duration(perSecond))
 }
 
 func (g *Gate) load(now time.Time) relay.Message {
--- a/core/coord/steer/choose_test.go
+++ b/core/coord/steer/choose_test.go
@@ -84,12 +84,18 @@
 	w.is.Equal(counts[agent(2)], 16) // 80:30 of 22
 }
 
-// Pattern: more new flows than the targets can take. Those that can still be answered in time go first, and each is
-// either offered or refused within the time that its client waits.
-func TestOverloadKeepsNewFlowsInTime(t *testing.T) {
+// oneTarget gives a world one agent, and a route whose requests should be answered in 250 ms.
+func oneTarget(t *testing.T) *world {
 	w := newWorld(t)
 	w.b.Configure(configWith(func(r *state.Route) { r.Target = 250 * time.Millisecond }))
 	w.members(1)
+	return w
+}
+
+// Pattern: more new flows than the targets can take. Those that can still be answered in time go first, and each is
+// either offered or refused within the time that its client waits.
+func TestOverloadKeepsNewFlowsInTime(t *testing.T) {
+	w := oneTarget(t)
 	w.report(1, relay.Load{Takes: true, Room: 0, Slots: 4, Period: time.Second})
 	w.b.Packet(w.now, opens(flow(1), 0))
 	w.b.Packet(w.now, opens(flow(2), 0))
@@ -111,9 +117,7 @@
 // Pattern: all machines were dark for a second, and the first packets that come are copies of opening packets that were sent
 // meanwhile. Those flows are late already; the ones that begin now are not, and go first.
 func TestCopiesFromBeforeAnOutageDoNotMakeNewFlowsLate(t *testing.T) {
-	w := newWorld(t)
-	w.b.Configure(configWith(func(r *state.Route) { r.Target = 250 * time.Millisecond }))
-	w.members(1)
+	w := oneTarget(t)
 	w.report(1, relay.Load{Takes: true, Room: 0, Slots: 4, Period: time.Second})
 	old := opens(flow(1), 2)
 	old.Age = 600 * time.Millisecond
@@ -127,12 +131,7 @@
 
 // Pattern: the same. A flow that waits goes on as soon as an agent tells of room, not at the next tick.
 func TestRoomIsUsedAtOnce(t *testing.T) {
-	w := newWorld(t)
-	w.b.Configure(config(1, service))
-	w.members(1)
-	w.report(1, relay.Load{Takes: true, Room: 0, Slots: 4, Period: time.Second})
-	w.b.Packet(w.now, opens(flow(1), 0))
-	w.is.Equal(w.count(relay.KindOpen), 0)
+	w := waitingFlow(t)
 	w.report(1, relay.Load{Takes: true, Room: 1, Slots: 4, Period: time.Second})
 	w.is.Equal(w.count(relay.KindOpen), 1)
 }
@@ -154,9 +153,7 @@
 // Pattern: an outage has left a backlog of flows that are late already, on several balancers. One that a target turned away
 // waits for the target's next report, and does not stop this balancer from using the target's room for flows in time.
 func TestLateFlowsLeaveTheRoomToWaitToOthers(t *testing.T) {
-	w := newWorld(t)
-	w.b.Configure(configWith(func(r *state.Route) { r.Target = 250 * time.Millisecond }))
-	w.members(1)
+	w := oneTarget(t)
 	busy := relay.Load{Takes: true, Busy: 4, Room: 2, Slots: 4, Period: time.Second}
 	w.report(1, busy)
 	late := opens(flow(1), 2)
--- a/core/coord/steer/waiting.go
+++ b/core/coord/steer/waiting.go
@@ -107,21 +107,32 @@
 	}
 	room := b.roomByService(now)
 	for _, o := range b.inOrder(now) {
-		id := o.segment.Flow
-		switch {
-		case b.config.Version != 0 && !o.routed:
+		if b.config.Version != 0 && !o.routed {
 			b.refuseRoute(o.segment)
-		case o.routed && room[o.service] > 0 && b.canServe(now, o):
+			continue
+		}
+		if o.routed && room[o.service] > 0 && b.serve(now, o) {
 			room[o.service]--
-			delete(b.waiting, id)
-			b.place(now, o.route, o.segment, placeOf(now, o))
-		case now.Sub(o.since) >= waitLimit:
-			delete(b.waiting, id)
+			continue
+		}
+		if now.Sub(o.since) >= waitLimit {
+			delete(b.waiting, o.segment.Flow)
 			b.refuseWaiting(now, o)
 		}
 	}
 }
 
+// serve offers a flow that waits to the best target, and reports whether there is one.
+func (b *Balancer) serve(now time.Time, o *opening) bool {
+	t, weighed := b.choose(now, o.service, o.segment.Flow, nil, b.lateness(now, o) == 1)
+	if t == nil {
+		return false
+	}
+	delete(b.waiting, o.segment.Flow)
+	b.placeAt(now, o.segment, placeOf(now, o), t, weighed)
+	return true
+}
+
 // serveAt offers flows that wait to a target that has told of room, until there is none left. Under overload reports are
 // many and each has room for few flows, so that it would take too long to look for the best target of every one.
 func (b *Balancer) serveAt(now time.Time, t *target) {
@@ -193,8 +204,3 @@
 	}
 	return 0
 }
-
-func (b *Balancer) canServe(now time.Time, o *opening) bool {
-	t, _ := b.choose(now, o.service, o.segment.Flow, nil, b.lateness(now, o) == 1)
-	return t != nil
-}
--- a/io/admin/member.go
+++ b/io/admin/member.go
@@ -21,8 +21,8 @@
 	Flow        string `json:"flowAddress"`
 }
 
-// DumpMember maps one member.
-func DumpMember(m state.Member) MemberDump {
+// dumpMember maps one member.
+func dumpMember(m state.Member) MemberDump {
 	return MemberDump{
 		ID:          string(m.ID),
 		Role:        m.Role.String(),
@@ -41,7 +41,7 @@
 func DumpMembers(members []state.Member) []MemberDump {
 	list := make([]MemberDump, 0, len(members))
 	for _, m := range members {
-		list = append(list, DumpMember(m))
+		list = append(list, dumpMember(m))
 	}
 	slices.SortFunc(list, func(a, b MemberDump) int { return cmp.Compare(a.ID, b.ID) })
 	return list
--- a/io/node/config.go
+++ b/io/node/config.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"compress/gzip"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/netip"
@@ -61,10 +62,8 @@
 	if err != nil {
 		return nil, errs.Wrap(err, errs.Internal, "configuration can't be compressed")
 	}
-	if _, err := w.Write(raw); err != nil {
-		return nil, errs.Wrap(err, errs.Internal, "configuration can't be compressed")
-	}
-	if err := w.Close(); err != nil {
+	_, err = w.Write(raw)
+	if err = errors.Join(err, w.Close()); err != nil {
 		return nil, errs.Wrap(err, errs.Internal, "configuration can't be compressed")
 	}
 	return &stored{version: version, raw: raw, packed: packed.Bytes()}, nil
@@ -223,6 +222,9 @@
 		k.log.Error("a configuration can't be read and is left out", "from", from, "error", errs.Text(err))
 		return nil
 	}
+	if c.Version <= k.version() {
+		return nil
+	}
 	next, err := newStored(c.Version, raw)
 	if err != nil {
 		return err
