--- a/core/coord/steer/choose.go
+++ b/core/coord/steer/choose.go
@@ -32,7 +32,7 @@
 // place offers a new flow to the best target. If no target accepts it, the flow is queued or refused at once.
 func (b *Balancer) place(now time.Time, route state.Route, seg state.Segment, p *placement) {
 	service := route.SelectService(seg.Flow)
-	late := isLate(now, route.LatencyObjective, seg, p.queuedAt)
+	late := b.isLate(now, route, seg, p.queuedAt)
 	t, considered := b.chooseTarget(now, service, seg.Flow, p.tried, late)
 	if t == nil || len(p.tried) >= maxTriedTargets {
 		b.enqueueOrRefuse(now, service, seg, p, considered)
@@ -52,7 +52,7 @@
 		Event: relay.EventPlaced, Flow: seg.Flow, Peer: t.address, Config: b.config.Version,
 		Age: relay.AgeOf(now, t.lastReportAt), Count: considered,
 	})
-	b.offer(t, seg, isLate(now, b.config.Routes[seg.Flow.Virtual].LatencyObjective, seg, p.queuedAt))
+	b.offer(t, seg, b.isLate(now, b.config.Routes[seg.Flow.Virtual], seg, p.queuedAt))
 }
 
 // enqueueOrRefuse queues a new flow that no target accepts now if a target may accept it shortly, and refuses it
@@ -143,16 +143,9 @@
 // cost is the expected delay that one more request has at a target: the requests there and on the way, times the
 // service time, divided by the slots (the join-the-shortest-expected-delay policy).
 func (b *Balancer) cost(t *target) time.Duration {
-	serviceTime := t.load.ServiceTime
-	if serviceTime == 0 {
-		serviceTime = defaultServiceTime
-	}
-	if t.load.WarmupLeft > 0 {
-		serviceTime = time.Duration(warmupSlowdownFactor * float64(serviceTime))
-	}
 	slots := float64(max(1, t.load.Slots))
 	work := max(float64(t.load.Outstanding), t.load.MeanOutstanding) + float64(t.sentSinceReport) + 1
-	cost := time.Duration(work * float64(serviceTime) / slots)
+	cost := time.Duration(work * float64(t.serviceTime()) / slots)
 	if t.dataCentre != b.settings.DataCentre {
 		cost += crossDataCentrePenalty
 	}
--- a/core/coord/steer/choose_test.go
+++ b/core/coord/steer/choose_test.go
@@ -131,6 +131,26 @@
 	h.is.Equal(h.count(relay.KindOpen), 1)
 }
 
+// After an outage cold targets take nearly half of the latency objective for a request. A queued flow for which the
+// rest of the objective is too short for that is late already, and must not go before one that can be answered in time.
+func TestFlowThatCanBeAnsweredInTimeGoesBeforeOneThatCannot(t *testing.T) {
+	h := newHarnessWithOneTarget(t)
+	busy := relay.Load{
+		Accepting: true, Headroom: 0, Slots: 4, ServiceTime: 60 * time.Millisecond, WarmupLeft: time.Second, ReportInterval: time.Second,
+	}
+	h.report(1, busy)
+	h.b.HandlePacket(h.now, openingSegment(flow(1), 0))
+	h.now = h.now.Add(180 * time.Millisecond) // 250 - 180 ms are left, and a request takes 96 ms
+	h.b.HandlePacket(h.now, openingSegment(flow(2), 0))
+	h.report(1, busy)
+	h.b.Tick(h.now)
+	busy.Headroom = 1
+	h.report(1, busy)
+	offered, _ := h.last(relay.KindOpen)
+	h.is.Equal(offered.Flow, flow(2))
+	h.is.Equal(h.count(relay.KindOpen), 1)
+}
+
 // Under overload a queued flow must be placed as soon as a load report has headroom, not at the next tick.
 func TestQueuedFlowIsPlacedWhenHeadroomIsReported(t *testing.T) {
 	h := newHarnessWithQueuedFlow(t)
--- a/core/coord/steer/messages.go
+++ b/core/coord/steer/messages.go
@@ -112,7 +112,7 @@
 	switch {
 	case m.Reason != relay.ReasonFull:
 		p.target.load.Accepting = false
-	case !isLate(now, route.LatencyObjective, seg, p.queuedAt):
+	case !b.isLate(now, route, seg, p.queuedAt):
 		p.target.fullUntil = now.Add(fullBackoff)
 		p.refusedAsFull = true
 	default:
--- a/core/coord/steer/queue.go
+++ b/core/coord/steer/queue.go
@@ -206,9 +206,9 @@
 	)
 }
 
-// lateness is 1 for a flow whose client has tried to open it for longer than the latency objective, and 0 otherwise.
+// lateness is 1 for a flow that can no longer be answered within its latency objective, and 0 otherwise.
 func (b *Balancer) lateness(now time.Time, q *queuedFlow) int {
-	if isLate(now, q.route.LatencyObjective, q.segment, q.since) {
+	if b.isLate(now, q.route, q.segment, q.since) {
 		return 1
 	}
 	return 0
--- a/core/coord/steer/steer.go
+++ b/core/coord/steer/steer.go
@@ -51,6 +51,8 @@
 	targets map[netip.AddrPort]*target
 	// targetsByService holds the same targets by service.
 	targetsByService map[state.ServiceName][]*target
+	// serviceTimes holds the mean service time of each service's targets; a service is missing while none is known.
+	serviceTimes map[state.ServiceName]time.Duration
 	// flows holds the placement of each flow that this balancer forwards or owns.
 	flows map[state.FlowID]*placement
 	// searches holds the flows whose holder is being searched for.
@@ -100,6 +102,7 @@
 		targets:           make(map[netip.AddrPort]*target),
 
 		targetsByService: make(map[state.ServiceName][]*target),
+		serviceTimes:     make(map[state.ServiceName]time.Duration),
 		flows:            make(map[state.FlowID]*placement),
 		searches:         make(map[state.FlowID]*search),
 		queue:            make(map[state.FlowID]*queuedFlow),
@@ -243,12 +246,6 @@
 	})
 }
 
-// isLate reports whether the client of a new flow has waited for longer than the latency objective: the time since the
-// flow was queued here (since, zero if it was not) plus the time for which the client had already tried to connect.
-func isLate(now time.Time, objective time.Duration, seg state.Segment, since time.Time) bool {
-	return objective > 0 && relay.AgeOf(now, since)+seg.ConnectAge > objective
-}
-
 // Tick handles timeouts and other periodic work. It must be called at least every TickPeriod.
 func (b *Balancer) Tick(now time.Time) {
 	for _, s := range b.searches {
@@ -256,6 +253,7 @@
 			b.handleSearchTimeout(now, s)
 		}
 	}
+	b.updateServiceTimes()
 	b.placeQueued(now)
 	b.FlushQueries()
 	if !now.Before(b.nextTimeoutCheck) {
