steer: the youngest flow in time goes first while late flows are queued

Cause: after an outage arrivals and the backlog together exceed what cold targets answer (1.6 times as slow for 2 s). In the order of arrival every flow in time was offered when its objective had nearly passed, and was then answered late. Change: while late flows of a service are queued, its flows in time are offered youngest first.

--- a/core/coord/steer/choose_test.go
+++ b/core/coord/steer/choose_test.go
@@ -151,6 +151,31 @@
 	h.is.Equal(h.count(relay.KindOpen), 1)
 }
 
+// A backlog of late flows shows that a service gets more requests than it can answer. Were its flows in time offered in
+// the order of their arrival, each would wait until its objective has nearly passed. Without a backlog the oldest goes
+// first.
+func TestYoungestFlowInTimeGoesFirstWhileLateFlowsAreQueued(t *testing.T) {
+	for _, backlog := range []bool{true, false} {
+		h := newHarnessWithOneTarget(t)
+		full := relay.Load{Accepting: true, Headroom: 0, Slots: 4, ReportInterval: time.Second}
+		h.report(1, full)
+		if backlog {
+			late := openingSegment(flow(1), 2)
+			late.ConnectAge = 600 * time.Millisecond
+			h.b.HandlePacket(h.now, late)
+		}
+		h.b.HandlePacket(h.now, openingSegment(flow(2), 0))
+		h.now = h.now.Add(100 * time.Millisecond)
+		h.b.HandlePacket(h.now, openingSegment(flow(3), 0))
+		h.b.Tick(h.now)
+		full.Headroom = 1
+		h.report(1, full)
+		offered, _ := h.last(relay.KindOpen)
+		h.is.Equal(offered.Flow == flow(3), backlog)
+		h.is.Equal(h.count(relay.KindOpen), 1)
+	}
+}
+
 // Under overload a queued flow must be placed as soon as a load report has headroom, not at the next tick.
 func TestQueuedFlowIsPlacedWhenHeadroomIsReported(t *testing.T) {
 	h := newHarnessWithQueuedFlow(t)
--- a/core/coord/steer/queue.go
+++ b/core/coord/steer/queue.go
@@ -107,6 +107,7 @@
 // placeQueued places queued flows at the targets that accept new flows, and refuses those that were queued for too
 // long.
 func (b *Balancer) placeQueued(now time.Time) {
+	b.updateOverloaded(now)
 	if len(b.queue) == 0 {
 		return
 	}
@@ -196,16 +197,38 @@
 }
 
 // compareQueued orders queued flows: those that can still be answered within their latency objective before those that
-// can't, so that a backlog does not make all later flows late too; then by priority, highest first; then the oldest
-// first.
+// can't, so that a backlog does not make all later flows late too; then by priority, highest first; then by age.
+//
+// The oldest goes first, except among flows in time of a service that is overloaded: each of those would otherwise be
+// offered only when its objective has nearly passed, and most would be answered just too late (adaptive LIFO: Maurer,
+// "Fail at Scale", 2015).
 func (b *Balancer) compareQueued(now time.Time, x, y *queuedFlow) int {
+	late := b.lateness(now, x)
+	byAge := x.startedAt().Compare(y.startedAt())
+	if late == 0 && b.overloaded[x.service] {
+		byAge = -byAge
+	}
 	return cmp.Or(
-		b.lateness(now, x)-b.lateness(now, y),
+		late-b.lateness(now, y),
 		x.route.Priority-y.route.Priority,
-		x.since.Compare(y.since),
+		byAge,
 	)
 }
 
+// startedAt is when the client of a queued flow began to open it, as far as is known.
+func (q *queuedFlow) startedAt() time.Time { return q.since.Add(-q.segment.ConnectAge) }
+
+// updateOverloaded determines the services that are overloaded: those with late flows in the queue.
+func (b *Balancer) updateOverloaded(now time.Time) {
+	clear(b.overloaded)
+	for _, q := range b.queue {
+		b.updateRoute(q)
+		if b.lateness(now, q) == 1 {
+			b.overloaded[q.service] = true
+		}
+	}
+}
+
 // lateness is 1 for a flow that can no longer be answered within its latency objective, and 0 otherwise.
 func (b *Balancer) lateness(now time.Time, q *queuedFlow) int {
 	if b.isLate(now, q.route, q.segment, q.since) {
--- a/core/coord/steer/steer.go
+++ b/core/coord/steer/steer.go
@@ -59,6 +59,8 @@
 	searches map[state.FlowID]*search
 	// queue holds the new flows for which a target is expected to be available shortly.
 	queue map[state.FlowID]*queuedFlow
+	// overloaded holds the services that had late flows in the queue at the last tick.
+	overloaded map[state.ServiceName]bool
 	// owners finds the balancers that keep a flow's location.
 	owners relay.Owners
 	// probeLimiter limits the rate of probes.
@@ -106,6 +108,7 @@
 		flows:            make(map[state.FlowID]*placement),
 		searches:         make(map[state.FlowID]*search),
 		queue:            make(map[state.FlowID]*queuedFlow),
+		overloaded:       make(map[state.ServiceName]bool),
 		probeLimiter:     tokenBucket{tokens: probeBurst, last: now},
 		started:          now,
 	}
