steer, gate: silence is judged by the report interval in force, and a restarted balancer is told at once

To a balancer that was restarted it sent no report at once, as its address was on the list all the time, so for up to 1.5 s the restarted process had none; its limit of silence was then that of a small fleet, 1 s, and it reset an open flow of an idempotent route 1.07 s after its start. Verified by TestNoResetBeforeFirstReportIsDueInALargeFleet, which fails on the code before. Ruled out: the agent was not silent (it answered others and delivered that flow's packet 0.08 s earlier). Change: the interval follows from the number of balancers (relay.ReportInterval) until an agent reports its own; first report, death and dropped messages use it too; any message shows that an agent lives; balancers are listed with their process, and a new process gets a report and the locations of the flows that it owns.

--- a/core/coord/gate/gate.go
+++ b/core/coord/gate/gate.go
@@ -60,14 +60,10 @@
 	// downAfterPeriods is how many heartbeat periods may pass without a heartbeat before a target counts as down whose check
 	// timed out.
 	downAfterPeriods = 2.5
-	// reportInterval is the time between two load reports to a balancer in a small fleet.
-	reportInterval = 200 * time.Millisecond
 	// minHeadroomReportInterval is the minimum time between two reports that a full target has headroom again, in a small fleet.
 	// In a larger one maxHeadroomReportsPerSecond limits the messages to all balancers.
 	minHeadroomReportInterval   = 10 * time.Millisecond
 	maxHeadroomReportsPerSecond = 300
-	// maxReportsPerSecond limits the load reports of one gate to all balancers; the report interval is lengthened to keep to it.
-	maxReportsPerSecond = 60
 	// firstRequestTimeout is how long a new flow counts as an outstanding request before its first request has arrived.
 	firstRequestTimeout = 100 * time.Millisecond
 	// minOutstandingPerSlot and maxOutstandingPerSlot bound how many requests per slot may be outstanding at a target before it
@@ -93,7 +89,9 @@
 	startedAt time.Time
 	// flows holds every flow that was offered to the target or that it may hold, and recently closed flows.
 	flows map[state.FlowID]*flow
-	// owners determines the owners of a flow among the balancers in the last list given to SetBalancers.
+	// balancers holds the process at the address of each balancer in the last list given to SetBalancers.
+	balancers map[netip.AddrPort]state.InstanceID
+	// owners determines the owners of a flow among these balancers.
 	owners relay.Owners
 	// outstanding is the number of flows with an outstanding request, which are those with their outstanding flag set.
 	outstanding int
@@ -180,23 +178,28 @@
 	}
 }
 
-// SetBalancers replaces the list of balancers. It sends a load report to each new balancer, and to each new owner the locations
-// of its flows.
-func (g *Gate) SetBalancers(now time.Time, list []netip.AddrPort) {
-	previous := g.owners
-	g.owners = relay.NewOwners(list)
+// SetBalancers replaces the list of balancers, which has each address once. It sends a load report to each balancer that
+// is new or was restarted, and the locations of the flows that it owns to each of these and to each new owner.
+func (g *Gate) SetBalancers(now time.Time, list []relay.Balancer) {
+	previousOwners := g.owners
+	g.owners = relay.NewOwners(relay.Addresses(list))
+	processes := make(map[netip.AddrPort]state.InstanceID, len(list))
+	started := make(map[netip.AddrPort]bool)
 	for _, b := range list {
-		if !slices.Contains(previous.All(), b) {
-			g.actions.Send(b, g.loadReport(now))
+		processes[b.Address] = b.Process
+		if g.balancers[b.Address] != b.Process {
+			started[b.Address] = true
+			g.actions.Send(b.Address, g.loadReport(now))
 		}
 	}
+	g.balancers = processes
 	for id, f := range g.flows {
 		if f.phase != open {
 			continue
 		}
-		previousOwners := previous.Of(id)
+		previous := previousOwners.Of(id)
 		for _, owner := range g.owners.Of(id) {
-			if !slices.Contains(previousOwners, owner) {
+			if started[owner] || !slices.Contains(previous, owner) {
 				g.sendLocation(owner, id)
 			}
 		}
--- a/core/coord/gate/gate_test.go
+++ b/core/coord/gate/gate_test.go
@@ -68,7 +68,16 @@
 		CheckTarget: func() { h.checks++ },
 		OnAnswer:    func(time.Duration) {},
 	})
-	h.g.SetBalancers(h.now, []netip.AddrPort{balancer1, balancer2})
+	h.g.SetBalancers(h.now, runningBalancers(balancer1, balancer2))
+}
+
+// runningBalancers returns the first processes of the balancers at some addresses.
+func runningBalancers(addresses ...netip.AddrPort) []relay.Balancer {
+	var list []relay.Balancer
+	for _, address := range addresses {
+		list = append(list, relay.Balancer{Address: address, Process: "first"})
+	}
+	return list
 }
 
 // sendHeartbeat gives the gate the next heartbeat of a target with two slots.
@@ -386,11 +395,11 @@
 
 func TestNewBalancerGetsLoadReportAndLocations(t *testing.T) {
 	h := newHarness(t)
-	h.g.SetBalancers(h.now, []netip.AddrPort{balancer1})
+	h.g.SetBalancers(h.now, runningBalancers(balancer1))
 	h.sendHeartbeat("t1", 1, false)
 	h.open(flow(1))
 	h.clear()
-	h.g.SetBalancers(h.now, []netip.AddrPort{balancer1, balancer2})
+	h.g.SetBalancers(h.now, runningBalancers(balancer1, balancer2))
 	locations := h.sentOfKind(relay.KindLocation)
 	h.is.Equal(len(locations), 1)
 	h.is.Equal(locations[0].to, balancer2)
@@ -543,7 +552,7 @@
 	for n := range byte(60) {
 		list = append(list, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 2, n}), 7700))
 	}
-	h.g.SetBalancers(h.now, list)
+	h.g.SetBalancers(h.now, runningBalancers(list...))
 	h.clear()
 	end := h.now.Add(time.Second)
 	for n := uint16(0); h.now.Before(end); n++ {
@@ -585,3 +594,23 @@
 		})
 	}
 }
+
+// A balancer was killed and restarted within a second, before the membership noticed that its former process is gone. The
+// new process knows neither the load of the targets nor the flows that it owns.
+func TestRestartedBalancerGetsReportAndLocationsAtOnce(t *testing.T) {
+	h := newHarness(t)
+	h.sendHeartbeat("t", 1, false)
+	h.establish(flow(1))
+	h.clear()
+	restarted := runningBalancers(balancer1, balancer2)
+	restarted[1].Process = "second"
+	h.g.SetBalancers(h.now, restarted)
+	for _, kind := range []relay.Kind{relay.KindLoad, relay.KindLocation} {
+		messages := h.sentOfKind(kind)
+		h.is.Equal(len(messages), 1)
+		h.is.Equal(messages[0].to, balancer2)
+	}
+	h.clear()
+	h.g.SetBalancers(h.now, restarted)
+	h.is.Equal(len(h.sent), 0)
+}
--- a/core/coord/gate/tick.go
+++ b/core/coord/gate/tick.go
@@ -66,19 +66,11 @@
 }
 
 // reportInterval returns the time between two periodic load reports to a balancer.
-func (g *Gate) reportInterval() time.Duration {
-	return g.scaledInterval(reportInterval, maxReportsPerSecond)
-}
+func (g *Gate) reportInterval() time.Duration { return relay.ReportInterval(len(g.owners.All())) }
 
 // headroomReportInterval returns the minimum time between a report and a later one that is sent because headroom became available.
 func (g *Gate) headroomReportInterval() time.Duration {
-	return g.scaledInterval(minHeadroomReportInterval, maxHeadroomReportsPerSecond)
-}
-
-// scaledInterval returns the interval between two messages to all balancers: minInterval, or longer in a fleet where that would
-// exceed maxPerSecond messages per second in total.
-func (g *Gate) scaledInterval(minInterval time.Duration, maxPerSecond int) time.Duration {
-	return max(minInterval, time.Duration(len(g.owners.All()))*time.Second/time.Duration(maxPerSecond))
+	return max(minHeadroomReportInterval, time.Duration(len(g.owners.All()))*time.Second/maxHeadroomReportsPerSecond)
 }
 
 // loadReport returns a load report of the target.
--- a/core/coord/relay/owners.go
+++ b/core/coord/relay/owners.go
@@ -39,6 +39,22 @@
 	return owners
 }
 
+// Balancer is a balancer and the process that runs at its address.
+type Balancer struct {
+	Address netip.AddrPort
+	// Process changes with each start of the balancer; a new process knows nothing of what the former one was sent.
+	Process state.InstanceID
+}
+
+// Addresses returns the addresses of balancers.
+func Addresses(balancers []Balancer) []netip.AddrPort {
+	addresses := make([]netip.AddrPort, 0, len(balancers))
+	for _, b := range balancers {
+		addresses = append(addresses, b.Address)
+	}
+	return addresses
+}
+
 // NodeHash returns a hash of a node's address. It stays the same when the node's process restarts.
 func NodeHash(a netip.AddrPort) uint64 {
 	end := state.EndpointOf(a)
--- a/core/coord/steer/messages.go
+++ b/core/coord/steer/messages.go
@@ -12,6 +12,9 @@
 // HandleMessage handles a message from another node. The segment is the decoded packet of the message, if it carries
 // one.
 func (b *Balancer) HandleMessage(now time.Time, from netip.AddrPort, m relay.Message, seg state.Segment) {
+	if t := b.targets[from]; t != nil {
+		t.lastHeardAt = now
+	}
 	switch m.Kind {
 	case relay.KindLoad:
 		b.handleLoad(now, from, m)
--- a/core/coord/steer/steer.go
+++ b/core/coord/steer/steer.go
@@ -137,8 +137,18 @@
 // ActiveVersion returns the version of the configuration in force; zero if there is none yet.
 func (b *Balancer) ActiveVersion() state.ConfigVersion { return b.config.Version }
 
-// SetBalancers replaces the list of balancers, this one included.
-func (b *Balancer) SetBalancers(list []netip.AddrPort) { b.owners = relay.NewOwners(list) }
+// SetBalancers replaces the list of balancers, this one included. Their number determines how often agents report.
+func (b *Balancer) SetBalancers(list []netip.AddrPort) {
+	b.owners = relay.NewOwners(list)
+	for _, t := range b.targets {
+		if t.lastReportAt.IsZero() {
+			t.load.ReportInterval = b.reportInterval()
+		}
+	}
+}
+
+// reportInterval is the time between two load reports of an agent to this balancer, as far as it knows the fleet.
+func (b *Balancer) reportInterval() time.Duration { return relay.ReportInterval(len(b.owners.All())) }
 
 // SetMembershipComplete sets whether this node knows at least as many agents as most of its peers report. While it knows
 // fewer, a flow that no known agent holds is not reset: an unknown agent may hold it.
--- a/core/coord/steer/target.go
+++ b/core/coord/steer/target.go
@@ -14,20 +14,21 @@
 	// reportTimeoutIntervals is the number of report intervals without a load report after which a target gets no new
 	// flows.
 	reportTimeoutIntervals = 3.5
-	// firstReportTimeout is how long an agent that announced a serving target gets new flows without having sent a load
-	// report.
-	firstReportTimeout = time.Second
-	// deadAgentTimeout is how long an agent that the membership calls dead must have sent no load report before its
-	// flows are reset.
-	deadAgentTimeout = 1500 * time.Millisecond
+	// minFirstReportTimeout is the least time for which an agent that announced a serving target gets new flows without
+	// having sent a load report.
+	minFirstReportTimeout = time.Second
+	// minDeadAgentTimeout and deadAgentIntervals are the time and the number of report intervals for which an agent that
+	// the membership calls dead must both have sent nothing before its flows are reset.
+	minDeadAgentTimeout = 1500 * time.Millisecond
+	deadAgentIntervals  = 1.5
 	// minUnresponsiveTimeout and unresponsiveIntervals are the time and the number of report intervals that must both
-	// have passed without a load report before an agent's flows with idempotent requests are reset: a process that was
+	// have passed without a message before an agent's flows with idempotent requests are reset: a process that was
 	// killed has restarted by then.
 	minUnresponsiveTimeout = time.Second
 	unresponsiveIntervals  = 5
-	// droppedMessagesWindow is how long a balancer that dropped messages from other nodes doesn't treat missing load
-	// reports as evidence. It is longer than any report timeout that leads to a reset.
-	droppedMessagesWindow = 2 * time.Second
+	// minDroppedMessagesWindow is the least time for which a balancer that dropped messages from other nodes doesn't
+	// treat missing load reports as evidence. It is longer than any report timeout that leads to a reset.
+	minDroppedMessagesWindow = 2 * time.Second
 	// minResponsiveNumerator / minResponsiveDenominator is the fraction of the agents that must be responsive before
 	// one is treated as unresponsive: if fewer are, the fault may be at this balancer.
 	minResponsiveNumerator   = 1
@@ -61,6 +62,8 @@
 	load      relay.Load
 	// lastReportAt is when the last load report was received; zero if there was none since the agent started.
 	lastReportAt time.Time
+	// lastHeardAt is when the agent's last message of any kind was received; zero if there was none since it started.
+	lastHeardAt time.Time
 	// sentSinceReport is how many new flows were sent to the target since that report.
 	sentSinceReport int
 	// avoidUntil is until when the target gets no new flows because it did not answer an opening packet.
@@ -77,12 +80,12 @@
 }
 
 // presumedDead reports whether the target's flows can be reset: its agent died, without having left on purpose, and has
-// sent no load report for deadAgentTimeout; or it left, and either its target was down or it has not come back within
+// sent nothing for a while; or it left, and either its target was down or it has not come back within
 // plannedRestartWindow.
 func (t *target) presumedDead(now time.Time) bool {
 	switch t.health {
 	case state.HealthDead:
-		return now.Sub(t.lastReportAt) > deadAgentTimeout
+		return now.Sub(t.lastHeardAt) > max(minDeadAgentTimeout, t.reportIntervals(deadAgentIntervals))
 	case state.HealthLeft:
 		return t.load.Reason == relay.ReasonTargetDown || t.phase == state.PhaseEmpty || now.Sub(t.changedAt) > plannedRestartWindow
 	default:
@@ -90,18 +93,22 @@
 	}
 }
 
-// unresponsive reports whether the agent has stopped sending load reports without having announced that it stops: its
+// reportIntervals returns the length of a number of the agent's report intervals.
+func (t *target) reportIntervals(n float64) time.Duration {
+	return time.Duration(n * float64(t.load.ReportInterval))
+}
+
+// unresponsive reports whether the agent has stopped sending messages without having announced that it stops: its
 // instance is paused, cut off or dead, which the membership detects later.
 func (t *target) unresponsive(now time.Time) bool {
 	if t.health == state.HealthLeft || t.load.Reason == relay.ReasonStopping {
 		return false
 	}
-	since := t.lastReportAt
+	since := t.lastHeardAt
 	if since.IsZero() {
 		since = t.startedAt
 	}
-	limit := max(minUnresponsiveTimeout, time.Duration(unresponsiveIntervals*float64(t.load.ReportInterval)))
-	return now.Sub(since) > limit
+	return now.Sub(since) > max(minUnresponsiveTimeout, t.reportIntervals(unresponsiveIntervals))
 }
 
 // accepting reports whether the target can be given a new flow now.
@@ -120,10 +127,9 @@
 		return false
 	}
 	if t.lastReportAt.IsZero() {
-		return t.phase == state.PhaseServing && now.Sub(t.changedAt) < firstReportTimeout
+		return t.phase == state.PhaseServing && now.Sub(t.changedAt) < max(minFirstReportTimeout, t.reportIntervals(reportTimeoutIntervals))
 	}
-	limit := time.Duration(reportTimeoutIntervals * float64(t.load.ReportInterval))
-	return t.load.Accepting && now.Sub(t.lastReportAt) < limit
+	return t.load.Accepting && now.Sub(t.lastReportAt) < t.reportIntervals(reportTimeoutIntervals)
 }
 
 // isStarting reports whether the agent runs and started so recently that its target may not have reported to it yet.
@@ -184,10 +190,14 @@
 	if t.id != m.ID {
 		t.id = m.ID
 		t.lastReportAt = time.Time{}
-		t.load = relay.Load{Slots: m.Slots}
+		t.lastHeardAt = time.Time{}
+		t.load = relay.Load{Slots: m.Slots, ReportInterval: b.reportInterval()}
 		t.changedAt = now
 		t.startedAt = now
+		t.sentSinceReport = 0
 		t.avoidUntil = time.Time{}
+		t.fullUntil = time.Time{}
+		t.refusesLateUntil = time.Time{}
 		t.timedOut = false
 	}
 	if t.health != m.Health || t.phase != m.Phase {
@@ -205,6 +215,7 @@
 	if former != nil {
 		former.health = state.HealthDead
 		former.lastReportAt = time.Time{}
+		former.lastHeardAt = time.Time{}
 	}
 	t := &target{address: m.Flow, service: m.Service, hash: relay.NodeHash(m.Flow), changedAt: now}
 	b.targets[m.Flow] = t
@@ -277,6 +288,9 @@
 		if !t.lastReportAt.IsZero() {
 			t.lastReportAt = t.lastReportAt.Add(gap)
 		}
+		if !t.lastHeardAt.IsZero() {
+			t.lastHeardAt = t.lastHeardAt.Add(gap)
+		}
 	}
 }
 
@@ -287,7 +301,8 @@
 // messagesDroppedRecently reports whether this balancer has dropped messages so recently that missing load reports prove
 // nothing about the agents.
 func (b *Balancer) messagesDroppedRecently(now time.Time) bool {
-	return !b.messagesDroppedAt.IsZero() && now.Sub(b.messagesDroppedAt) < droppedMessagesWindow
+	window := max(minDroppedMessagesWindow, unresponsiveIntervals*b.reportInterval())
+	return !b.messagesDroppedAt.IsZero() && now.Sub(b.messagesDroppedAt) < window
 }
 
 // TargetStatus is the state of one target for operators.
@@ -346,7 +361,7 @@
 			continue
 		}
 		total++
-		if !t.lastReportAt.IsZero() && !t.unresponsive(now) {
+		if !t.lastHeardAt.IsZero() && !t.unresponsive(now) {
 			responsive++
 		}
 	}
--- a/core/coord/steer/unresponsive_test.go
+++ b/core/coord/steer/unresponsive_test.go
@@ -1,6 +1,7 @@
 package steer_test
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -157,3 +158,58 @@
 	h.receiveNotFound(agent(1), flow(1), noPacket)
 	h.is.Equal(h.resets, []state.FlowID{flow(1)})
 }
+
+// In a fleet of 91 balancers an agent reports to each every 1.5 s. A balancer that has just been restarted, as planned,
+// has found an open flow again, and the agent's first report is not due yet.
+func TestNoResetBeforeFirstReportIsDueInALargeFleet(t *testing.T) {
+	h := newHarness(t)
+	h.b.Configure(configWith(func(r *state.Route) { r.Idempotent = true }))
+	h.members(1, 2, 3, 4, 5)
+	h.b.SetBalancers(balancers(91))
+	h.advance(500*time.Millisecond, 2, 3, 4, 5)
+	h.receiveLocation(otherBalancer, agent(1), flow(1))
+	h.advance(700*time.Millisecond, 2, 3, 4, 5)
+	h.b.HandlePacket(h.now, dataSegment(flow(1)))
+	h.is.Equal(len(h.resets), 0)
+	h.is.Equal(h.count(relay.KindData), 1)
+	h.advance(8*time.Second, 2, 3, 4, 5) // more than five intervals
+	h.b.HandlePacket(h.now, dataSegment(flow(1)))
+	h.is.Equal(len(h.resets), 1)
+}
+
+// An agent whose load reports are lost, or late since its queue is long, still confirms flows: it is not unresponsive.
+func TestAnyMessageShowsThatAnAgentIsResponsive(t *testing.T) {
+	h := newHarness(t)
+	h.b.Configure(configWith(func(r *state.Route) { r.Idempotent = true }))
+	h.settle(1, 2, 3, 4, 5)
+	h.advance(900*time.Millisecond, 2, 3, 4, 5)
+	h.receiveLocation(agent(1), agent(1), flow(1))
+	h.advance(300*time.Millisecond, 2, 3, 4, 5)
+	h.b.HandlePacket(h.now, dataSegment(flow(1)))
+	h.is.Equal(len(h.resets), 0)
+}
+
+// The membership calls an agent dead by mistake. At 91 balancers its last report is often older than 1.5 s.
+func TestFalseDeathIsNotBelievedBeforeTheNextReportIsDueInALargeFleet(t *testing.T) {
+	h := newHarness(t)
+	h.settle(1, 2)
+	h.b.SetBalancers(balancers(91))
+	h.report(1, relay.Load{Accepting: true, Headroom: 4, Slots: 4, ReportInterval: relay.ReportInterval(91)})
+	h.receiveLocation(otherBalancer, agent(1), flow(1))
+	h.b.SetMembers(h.now, []state.Member{member(1, service, state.HealthDead), member(2, service, state.HealthAlive)})
+	h.advance(1900*time.Millisecond, 2)
+	h.b.HandlePacket(h.now, dataSegment(flow(1)))
+	h.is.Equal(len(h.resets), 0)
+	h.advance(600*time.Millisecond, 2)
+	h.b.HandlePacket(h.now, dataSegment(flow(1)))
+	h.is.Equal(len(h.resets), 1)
+}
+
+// balancers returns the addresses of n balancers, self and otherBalancer included.
+func balancers(n int) []netip.AddrPort {
+	list := []netip.AddrPort{self, otherBalancer}
+	for i := 2; i < n; i++ {
+		list = append(list, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 2, byte(i)}), 7700))
+	}
+	return list
+}
--- a/io/node/balancer.go
+++ b/io/node/balancer.go
@@ -10,6 +10,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"monsoonstep/core/coord/relay"
 	"monsoonstep/core/coord/steer"
 	"monsoonstep/core/errs"
 	"monsoonstep/core/state"
@@ -121,7 +122,7 @@
 // members passes changed members on to the parts of the balancer.
 func (b *Balancer) members(now time.Time, members []state.Member) {
 	b.steer.SetMembers(now, members)
-	list := balancers(members)
+	list := relay.Addresses(balancers(members))
 	b.steer.SetBalancers(list)
 	b.config.setBalancers(list)
 	b.config.fetchIfOutdated()
--- a/io/node/discovery.go
+++ b/io/node/discovery.go
@@ -58,14 +58,13 @@
 	return &discovery{n: n, directory: d, log: n.log.Part("fleet"), alone: true}
 }
 
-// setBalancers sets the balancers that are present, and whether this node knows no other one. It sorts the balancers in place.
+// setBalancers sets the balancers that are present, sorted, and whether this node knows no other one.
 func (d *discovery) setBalancers(now time.Time, balancers []netip.AddrPort, alone bool) {
-	slices.SortFunc(balancers, netip.AddrPort.Compare)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.alone = alone
 	if !slices.Equal(d.balancers, balancers) {
-		d.balancers = slices.Clone(balancers)
+		d.balancers = balancers
 		d.changedAt = now
 	}
 }
--- a/io/node/fleet.go
+++ b/io/node/fleet.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"monsoonstep/core/coord/gossip"
+	"monsoonstep/core/coord/relay"
 	"monsoonstep/core/state"
 	"monsoonstep/io/logs"
 )
@@ -194,13 +195,22 @@
 	return f.machine.Leave()
 }
 
-// balancers returns the addresses of the balancers that are present, this node included if it is one.
-func balancers(members []state.Member) []netip.AddrPort {
-	var found []netip.AddrPort
+// balancers returns the balancers that are present, this node included if it is one, each address once. Two processes at one address
+// are a balancer that was restarted and its former process, which is not known to be down yet.
+func balancers(members []state.Member) []relay.Balancer {
+	newest := make(map[netip.AddrPort]state.InstanceID)
 	for _, m := range members {
-		if m.Role == state.RoleBalancer && m.Present() && m.Gossip.IsValid() {
-			found = append(found, m.Gossip)
+		if m.Role != state.RoleBalancer || !m.Present() || !m.Gossip.IsValid() {
+			continue
 		}
+		if other, ok := newest[m.Gossip]; !ok || m.ID.Started() > other.Started() {
+			newest[m.Gossip] = m.ID
+		}
+	}
+	found := make([]relay.Balancer, 0, len(newest))
+	for address, process := range newest {
+		found = append(found, relay.Balancer{Address: address, Process: process})
 	}
+	slices.SortFunc(found, func(x, y relay.Balancer) int { return x.Address.Compare(y.Address) })
 	return found
 }
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -286,7 +286,7 @@
 // updateMembers passes the members on if they have changed.
 func (n *node) updateMembers(now time.Time) {
 	if members, changed := n.fleet.changed(); changed {
-		n.discovery.setBalancers(now, balancers(members), n.fleet.alone)
+		n.discovery.setBalancers(now, relay.Addresses(balancers(members)), n.fleet.alone)
 		n.onMembers(now, members)
 	}
 }
