--- a/core/state/ids.go
+++ b/core/state/ids.go
@@ -58,6 +58,16 @@
 // Revision is a revision of the platform's key-value service.
 type Revision int64
 
+// StoreEra counts how often the platform's key-value service came back from an earlier copy of itself. Such a copy lacks
+// the latest changes, and gives out their revisions again, so revisions are comparable only within one era.
+type StoreEra uint64
+
+// StorePosition is a point in the history of the platform's key-value service.
+type StorePosition struct {
+	Era      StoreEra
+	Revision Revision
+}
+
 // Generation numbers the keys of the key ring.
 type Generation uint8
 
--- a/io/node/config.go
+++ b/io/node/config.go
@@ -14,6 +14,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"monsoonstep/core/coord/rank"
 	"monsoonstep/core/coord/relay"
 	"monsoonstep/core/errs"
@@ -39,6 +41,11 @@
 	// maxFirstRetryDelay is the maximum delay after a failed call while this balancer has no configuration. It is short because no new
 	// flow can be placed before the first configuration.
 	maxFirstRetryDelay = 400 * time.Millisecond
+	// firstPeerTimeout is how long a balancer that starts waits for an answer of another node before it reads the store.
+	firstPeerTimeout = 60 * time.Millisecond
+	// olderVersionDelay is how long a balancer without a configuration waits for the version that the fleet has announced before it
+	// activates an older one from the store.
+	olderVersionDelay = time.Second
 	// fetchTimeout is the timeout of a fetch from another balancer.
 	fetchTimeout = time.Second
 	// configPath is the path at which a balancer serves its configuration, in its stored form, to other balancers.
@@ -84,6 +91,10 @@
 	// storeUnavailable is true if the last call to the store failed. While the store answers that it has no configuration, it does not
 	// change.
 	storeUnavailable atomic.Bool
+	// era is the latest era of the store; zero before the first answer. Only the watcher uses it.
+	era state.StoreEra
+	// restores counts how often the store came back from an earlier copy.
+	restores *metrics.Counter
 
 	// mu protects balancers.
 	mu sync.Mutex
@@ -98,6 +109,7 @@
 		log:           b.log.Part("config"),
 		client:        &http.Client{Timeout: fetchTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
 		fetchRequests: make(chan netip.AddrPort, 1),
+		restores:      b.metrics.NewCounter("monsoonstep_store_restores_total"),
 	}
 }
 
@@ -147,32 +159,43 @@
 }
 
 // watch reads the first configuration from the store and, while this balancer is a watcher, watches the store for newer ones. After an
-// error, or once this balancer is no longer a watcher, the revision is reset to zero, so the next call to the store is a read.
+// error, or once this balancer is no longer a watcher, the position is reset, so the next call to the store is a read.
 func (s *configSyncer) watch(ctx context.Context) error {
+	s.waitForPeer(ctx)
 	delays := newRetryDelays()
-	revision := state.Revision(0)
+	position := state.StorePosition{}
 	for ctx.Err() == nil {
-		if revision != 0 && !s.isWatcher() {
-			revision = 0
+		if position.Revision != 0 && !s.isWatcher() {
+			position = state.StorePosition{}
 		}
-		if s.latest.Load() != nil && revision == 0 && !s.isWatcher() {
+		if s.latest.Load() != nil && position.Revision == 0 && !s.isWatcher() {
 			group.Sleep(ctx, watcherCheckInterval)
 			continue
 		}
-		next, err := s.readOrWait(ctx, revision)
+		next, err := s.readOrWait(ctx, position)
 		if err != nil && ctx.Err() == nil {
 			s.handleStoreError(err)
-			revision = 0
+			position = state.StorePosition{}
 			group.Sleep(ctx, s.limitRetryDelay(delays.NextBackOff()))
 			continue
 		}
 		s.markStoreAvailable()
 		delays.Reset()
-		revision = next
+		position = next
 	}
 	return nil
 }
 
+// waitForPeer waits until another node has answered, up to firstPeerTimeout. The answer says which version of the configuration the
+// fleet has, so that an older one in a store that was restored is not activated first.
+func (s *configSyncer) waitForPeer(ctx context.Context) {
+	select {
+	case <-s.b.heardPeer:
+	case <-time.After(firstPeerTimeout):
+	case <-ctx.Done():
+	}
+}
+
 // limitRetryDelay limits a retry delay to maxFirstRetryDelay while there is no configuration.
 func (s *configSyncer) limitRetryDelay(delay time.Duration) time.Duration {
 	if s.latest.Load() == nil {
@@ -181,29 +204,72 @@
 	return delay
 }
 
-// readOrWait reads the configuration if after is zero. Otherwise it waits for a change after that revision. It returns the revision to wait
-// from next.
-func (s *configSyncer) readOrWait(ctx context.Context, after state.Revision) (state.Revision, error) {
-	if after == 0 {
+// readOrWait reads the configuration if after is zero. Otherwise it waits for a change after that position. It returns the position to
+// wait from next.
+func (s *configSyncer) readOrWait(ctx context.Context, after state.StorePosition) (state.StorePosition, error) {
+	if after.Revision == 0 {
 		limited, cancel := context.WithTimeout(ctx, readTimeout)
 		defer cancel()
-		raw, revision, err := s.source.Read(limited)
-		if err != nil {
-			return 0, err
-		}
-		return revision, s.apply(ctx, raw, "store")
+		raw, position, err := s.source.Read(limited)
+		return s.handleAnswer(ctx, raw, position, err)
 	}
 	limited, cancel := context.WithTimeout(ctx, watchTimeout+watchReplyMargin)
 	defer cancel()
-	raw, revision, err := s.source.Wait(limited, after, watchTimeout)
+	raw, position, err := s.source.Wait(limited, after, watchTimeout)
 	if errs.KindOf(err) == errs.NotFound {
-		s.log.Info("store no longer has the history since the last revision; reading the whole configuration", "after", after)
-		return 0, nil
+		s.log.Info("store no longer has the history since the last position; reading the whole configuration",
+			"era", after.Era, "revision", after.Revision, "reason", errs.Text(err))
+		return state.StorePosition{}, s.noteEra(ctx, position.Era)
+	}
+	return s.handleAnswer(ctx, raw, position, err)
+}
+
+// handleAnswer notes the era of an answer of the store and applies the configuration in it.
+func (s *configSyncer) handleAnswer(ctx context.Context, raw []byte, position state.StorePosition, err error) (state.StorePosition, error) {
+	if eraErr := s.noteEra(ctx, position.Era); eraErr != nil {
+		return state.StorePosition{}, eraErr
+	}
+	if err != nil {
+		return state.StorePosition{}, err
+	}
+	return position, s.applyFromStore(ctx, raw)
+}
+
+// noteEra announces the era of the store to the fleet if it is a later one than known, and logs that the store was restored.
+func (s *configSyncer) noteEra(ctx context.Context, era state.StoreEra) error {
+	if era <= s.era {
+		return nil
+	}
+	before := s.era
+	s.era = era
+	if before != 0 {
+		s.restores.Inc()
+		s.log.Warn("store was restored from an earlier copy; its content is read and written again", "era", era, "before", before)
+	}
+	return s.b.runInLoop(ctx, func(time.Time) { s.b.fleet.announceStoreEra(era) })
+}
+
+// applyFromStore applies a configuration that was read from the store. A store that was restored may have an older version than the
+// fleet. A balancer without a configuration activates an older one only after olderVersionDelay: if no other balancer has the newer one
+// any more, routes that are some seconds old are better than none.
+func (s *configSyncer) applyFromStore(ctx context.Context, raw []byte) error {
+	if len(raw) == 0 || s.latest.Load() != nil {
+		return s.apply(ctx, raw, "store")
+	}
+	c, err := s.source.Decode(raw)
+	if err != nil {
+		return s.apply(ctx, raw, "store")
 	}
+	var announced state.ConfigVersion
+	err = s.b.runInLoop(ctx, func(time.Time) { announced, _ = s.b.fleet.announcedConfig() })
 	if err != nil {
-		return 0, err
+		return err
+	}
+	if c.Version < announced {
+		s.log.Warn("store has an older configuration than the fleet; waiting for another balancer's", "version", c.Version, "announced", announced)
+		group.Sleep(ctx, olderVersionDelay)
 	}
-	return revision, s.apply(ctx, raw, "store")
+	return s.apply(ctx, raw, "store")
 }
 
 // handleStoreError logs the first of a series of failed calls to the store, and each reply that there is no configuration.
--- a/io/node/discovery.go
+++ b/io/node/discovery.go
@@ -19,11 +19,12 @@
 // Directory reads and writes a list of balancers in the store, through which a process that knows no other node joins the fleet. The
 // seeds in its settings are only a few nodes, and those may be down or start later.
 type Directory struct {
-	// Read returns the list in its stored form, and its revision. An error of kind NotFound means that there is none.
-	Read func(ctx context.Context) ([]byte, state.Revision, error)
-	// Write replaces the list if its revision is still the expected one; zero means that there is no list yet. An error of kind
-	// Conflict means that the revision differs.
-	Write func(ctx context.Context, list []byte, expected state.Revision) error
+	// Read returns the list in its stored form, and the position of its last change. With allowStale the list may be seconds old, which
+	// costs the store less. An error of kind NotFound means that there is none; the position then has the revision zero.
+	Read func(ctx context.Context, allowStale bool) ([]byte, state.StorePosition, error)
+	// Write replaces the list if its last change is still the expected one; a revision of zero means that there is no list yet. An
+	// error of kind Conflict means that it is not, or that the store was restored since the read.
+	Write func(ctx context.Context, list []byte, expected state.StorePosition) error
 }
 
 const (
@@ -52,17 +53,20 @@
 	changedAt time.Time
 	// alone is true while no other node is known.
 	alone bool
+	// storeEra is the latest era of the store that the fleet has announced.
+	storeEra state.StoreEra
 }
 
 func newDiscovery(n *node, d Directory) *discovery {
 	return &discovery{n: n, directory: d, log: n.log.Part("fleet"), alone: true}
 }
 
-// setBalancers sets the balancers that are present, sorted, and whether this node knows no other one.
-func (d *discovery) setBalancers(now time.Time, balancers []netip.AddrPort, alone bool) {
+// setFleet sets the balancers that are present, sorted, whether this node knows no other one, and the latest era of the store.
+func (d *discovery) setFleet(now time.Time, balancers []netip.AddrPort, alone bool, storeEra state.StoreEra) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.alone = alone
+	d.storeEra = storeEra
 	if !slices.Equal(d.balancers, balancers) {
 		d.balancers = balancers
 		d.changedAt = now
@@ -97,7 +101,7 @@
 func (d *discovery) readList(ctx context.Context) error {
 	limited, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	raw, _, err := d.directory.Read(limited)
+	raw, _, err := d.directory.Read(limited, true)
 	if err != nil {
 		return err
 	}
@@ -108,20 +112,32 @@
 	return d.n.runInLoop(ctx, func(time.Time) { d.n.fleet.addSeeds(listed) })
 }
 
-// publishList writes the list after it has changed, if this balancer has the highest rank, so that only one balancer writes it.
+// publishedList is a list with the era of the store in which it was written.
+type publishedList struct {
+	balancers []netip.AddrPort
+	storeEra  state.StoreEra
+}
+
+// equal reports whether two lists are equal and were written in the same era. A store that was restored may have lost the list.
+func (p publishedList) equal(other publishedList) bool {
+	return p.storeEra == other.storeEra && slices.Equal(p.balancers, other.balancers)
+}
+
+// publishList writes the list after it has changed or the store was restored, if this balancer has the highest rank, so that only one
+// balancer writes it.
 func (d *discovery) publishList(ctx context.Context) error {
-	var written []netip.AddrPort
+	var written publishedList
 	for group.Sleep(ctx, listSettleTime/2) {
 		list := d.listToPublish()
-		if list == nil {
+		if list.balancers == nil {
 			// Another balancer may write the list in the meantime.
-			written = nil
+			written = publishedList{}
 			continue
 		}
-		if slices.Equal(list, written) {
+		if list.equal(written) {
 			continue
 		}
-		if err := d.writeList(ctx, list); err != nil {
+		if err := d.writeList(ctx, list.balancers); err != nil {
 			d.log.Warn("list of balancers could not be written to the store; retrying", "error", errs.Text(err))
 			group.Sleep(ctx, maxRetryDelay)
 			continue
@@ -131,25 +147,28 @@
 	return nil
 }
 
-// listToPublish returns the list to write, or nil if another balancer is to write it or the balancers have changed recently.
-func (d *discovery) listToPublish() []netip.AddrPort {
+// listToPublish returns the list to write, or none if another balancer is to write it or the balancers have changed recently.
+func (d *discovery) listToPublish() publishedList {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if len(d.balancers) == 0 || time.Since(d.changedAt) < listSettleTime {
-		return nil
+		return publishedList{}
 	}
 	hashes := make([]uint64, 0, len(d.balancers))
 	for _, b := range d.balancers {
 		hashes = append(hashes, relay.NodeHash(b))
 	}
 	if d.balancers[rank.Top(listRankKey, hashes, 1)[0]] != d.n.settings.Internal {
-		return nil
+		return publishedList{}
+	}
+	return publishedList{
+		balancers: slices.Clone(d.balancers[:min(maxListLength, len(d.balancers))]),
+		storeEra:  d.storeEra,
 	}
-	return slices.Clone(d.balancers[:min(maxListLength, len(d.balancers))])
 }
 
-// writeList replaces the stored list if it differs. An error of kind Conflict means that the read was stale, or that another balancer
-// wrote the list in between.
+// writeList replaces the stored list if it differs. An error of kind Conflict means that another balancer wrote the list in between, or
+// that the store was restored.
 func (d *discovery) writeList(ctx context.Context, list []netip.AddrPort) error {
 	encoded, err := encodeList(list)
 	if err != nil {
@@ -157,14 +176,14 @@
 	}
 	limited, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	stored, revision, err := d.directory.Read(limited)
+	stored, changedAt, err := d.directory.Read(limited, false)
 	if err != nil && errs.KindOf(err) != errs.NotFound {
 		return err
 	}
 	if slices.Equal(stored, encoded) {
 		return nil
 	}
-	return d.directory.Write(limited, encoded, revision)
+	return d.directory.Write(limited, encoded, changedAt)
 }
 
 // listDocument is the list in its stored form.
--- a/io/node/fleet.go
+++ b/io/node/fleet.go
@@ -37,6 +37,8 @@
 	// configRecordKey is the key of the record with the newest version of the configuration and the address of a balancer that has
 	// it.
 	configRecordKey state.Key = "config"
+	// storeEraRecordKey is the key of the record whose revision is the latest known era of the store.
+	storeEraRecordKey state.Key = "storeEra"
 )
 
 // fleet is this node's view of the fleet's membership. Only the event loop uses it.
@@ -186,6 +188,20 @@
 	return state.ConfigVersion(r.Revision), holder
 }
 
+// announceStoreEra announces an era of the store to the fleet, and reports whether it is later than the latest known one.
+func (f *fleet) announceStoreEra(era state.StoreEra) bool {
+	return f.machine.MergeRecord(state.Record{Key: storeEraRecordKey, Revision: state.Revision(era)})
+}
+
+// storeEra returns the latest era of the store that was announced; zero if none was.
+func (f *fleet) storeEra() state.StoreEra {
+	r, ok := f.machine.RecordSet().Get(storeEraRecordKey)
+	if !ok {
+		return 0
+	}
+	return state.StoreEra(r.Revision)
+}
+
 // leave returns the messages that announce that this node leaves the fleet. Later ticks send nothing.
 func (f *fleet) leave() []gossip.Send {
 	if f.left {
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -89,6 +89,8 @@
 	unsent *metrics.Counter
 	// scratch is reused to encode datagrams; only the event loop uses it.
 	scratch []byte
+	// heardPeer is closed once a gossip message of another node has been handled.
+	heardPeer chan struct{}
 	// stopped is set once the process has been asked to stop.
 	stopped  atomic.Bool
 	lastTick time.Time
@@ -127,6 +129,7 @@
 		internal:    conn,
 		freeBuffers: make(chan []byte, receiveQueueLength),
 		calls:       make(chan func(time.Time), callQueueLength),
+		heardPeer:   make(chan struct{}),
 		unreadable:  set.NewCounter("monsoonstep_datagrams_unreadable_total"),
 		unsent:      set.NewCounter("monsoonstep_datagrams_unsent_total"),
 	}
@@ -216,6 +219,7 @@
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	n.lastTick = time.Now()
+	n.tick(n.lastTick) // joins the fleet without waiting for the ticker
 	for {
 		if n.prioritiseNodes {
 			n.handleNodes()
@@ -286,7 +290,7 @@
 // updateMembers passes the members on if they have changed.
 func (n *node) updateMembers(now time.Time) {
 	if members, changed := n.fleet.changed(); changed {
-		n.discovery.setBalancers(now, relay.Addresses(balancers(members)), n.fleet.alone)
+		n.discovery.setFleet(now, relay.Addresses(balancers(members)), n.fleet.alone, n.fleet.storeEra())
 		n.onMembers(now, members)
 	}
 }
@@ -329,11 +333,21 @@
 	}
 	n.sendGossip(n.fleet.receive(now, from, m))
 	n.updateMembers(now)
+	n.notePeer()
 	if m.To != "" && m.To != n.fleet.machine.Self().ID {
 		n.sendGossip(n.fleet.introduce(now, from))
 	}
 }
 
+// notePeer closes heardPeer at the first call.
+func (n *node) notePeer() {
+	select {
+	case <-n.heardPeer:
+	default:
+		close(n.heardPeer)
+	}
+}
+
 // handleRelay handles a message about flows.
 func (n *node) handleRelay(now time.Time, from netip.AddrPort, packet []byte) {
 	m, err := hops.DecodeRelay(packet)
--- a/io/node/settings.go
+++ b/io/node/settings.go
@@ -30,11 +30,12 @@
 
 // ConfigSource reads the operator's configuration from the store.
 type ConfigSource struct {
-	// Read returns the newest configuration in its stored form, and the store's revision. The configuration is nil if there is none.
-	Read func(ctx context.Context) ([]byte, state.Revision, error)
-	// Wait waits until the configuration changes after a revision and returns it and the store's revision. The configuration is nil if
-	// it did not change within the wait. An error of kind NotFound means that the store no longer has the history since the revision.
-	Wait func(ctx context.Context, after state.Revision, wait time.Duration) ([]byte, state.Revision, error)
+	// Read returns the newest configuration in its stored form, and the store's position. An error of kind NotFound means that there is
+	// none.
+	Read func(ctx context.Context) ([]byte, state.StorePosition, error)
+	// Wait waits until the configuration changes after a position and returns it and the store's position. The configuration is nil if
+	// it did not change within the wait. An error of kind NotFound means that the store no longer has the history since the position.
+	Wait func(ctx context.Context, after state.StorePosition, wait time.Duration) ([]byte, state.StorePosition, error)
 	// Decode decodes a configuration in its stored form.
 	Decode func(stored []byte) (state.Config, error)
 }
