front, route: callers of a dead agent are reset when it is declared dead, not at their next retransmission

Cause: a balancer has no state per flow, so a caller is reset only when it sends a packet after its agent was declared dead; QUIC's retransmissions come at 0.1 x (2^n - 1) s, so after the one at about 6.3 s the next is at 12.7 s (the figure seen). Under load the death is noticed a little later than 6.3 s. Ruled out: loss of the death's news (all balancers knew it at 7.2 s). Change: while an agent is suspected a balancer keeps the longest packet of each of its flows (at most 4,096) and, once it is declared dead, routes them to other agents, one each 2 ms.

--- a/core/coord/route/route.go
+++ b/core/coord/route/route.go
@@ -79,6 +79,8 @@
 	services map[state.ServiceID]*service
 	// knownAgents maps the flow address of each known agent, dead ones included, to the agent's state.
 	knownAgents map[netip.AddrPort]knownAgent
+	// suspects has the flow addresses of the agents that are suspected to be dead.
+	suspects map[netip.AddrPort]struct{}
 	// region is the region whose agents are preferred for new flows.
 	region state.Region
 }
@@ -96,6 +98,7 @@
 		region:      region,
 		services:    make(map[state.ServiceID]*service),
 		knownAgents: make(map[netip.AddrPort]knownAgent),
+		suspects:    make(map[netip.AddrPort]struct{}),
 	}
 	for _, m := range members {
 		if m.Role == state.RoleAgent {
@@ -114,6 +117,9 @@
 	if !m.Present() {
 		return
 	}
+	if m.Health == state.HealthSuspect {
+		t.suspects[m.Flow] = struct{}{}
+	}
 	s := t.services[id]
 	if s == nil {
 		s = &service{}
@@ -136,6 +142,12 @@
 	}
 }
 
+// Suspects reports whether the agent with a flow address is suspected to be dead.
+func (t *Table) Suspects(agent netip.AddrPort) bool {
+	_, suspected := t.suspects[agent]
+	return suspected
+}
+
 // AcceptingAgents returns the number of a service's agents that accept new flows. If any of them is in the table's
 // region, only those in the region are counted.
 func (t *Table) AcceptingAgents(id state.ServiceID) int {
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -13,6 +13,7 @@
 	"net/netip"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/net/ipv4"
@@ -32,6 +33,9 @@
 	batchSize         = 32
 	maxPacketBytes    = 2048
 	socketBufferBytes = 4 << 20
+	// reroutePause is the pause between two kept packets that are rerouted: an agent queues few packets to answer with
+	// stateless resets.
+	reroutePause = 2 * time.Millisecond
 )
 
 // Forwarder forwards packets between callers and agents. Update adapts its sockets to the catalogue.
@@ -50,6 +54,11 @@
 	// mu serialises calls of Update.
 	mu     sync.Mutex
 	counts counts
+
+	// keptMu protects kept.
+	keptMu sync.Mutex
+	// kept holds packets of callers whose agents are suspected to be dead.
+	kept *route.Kept
 }
 
 // socket receives callers' packets for one service and sends them the answers.
@@ -87,15 +96,17 @@
 		view:     view,
 		flow:     conn,
 		counts:   newCounts(set),
+		kept:     route.NewKept(),
 	}
 	f.sockets.Store(&map[state.ServiceID]*socket{})
 	g.Go("answer forwarder", f.forwardAnswers)
 	return f, nil
 }
 
-// Update opens and closes sockets so that they match the catalogue entries of a view. If a socket can't be opened, the next
-// Update tries again.
+// Update opens and closes sockets so that they match the catalogue entries of a view, and reroutes the kept packets of the
+// agents that are dead in it. If a socket can't be opened, the next Update tries again.
 func (f *Forwarder) Update(v *ctrl.View) {
+	f.rerouteKept(v)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	old := *f.sockets.Load()
@@ -176,6 +187,9 @@
 			if outcome.Dropped() {
 				continue
 			}
+			if outcome == route.Established && v.Table.Suspects(to) {
+				f.keep(to, s.service, received.sender(i), packet)
+			}
 			encoded := codec.Encode(received.buffers[i], v.Keys, frame.Frame{
 				Kind:    frame.KindToAgent,
 				Service: s.service,
@@ -188,6 +202,48 @@
 	}
 }
 
+// keep keeps a packet that is forwarded to a suspected agent.
+func (f *Forwarder) keep(agent netip.AddrPort, service state.ServiceID, caller netip.AddrPort, packet []byte) {
+	f.keptMu.Lock()
+	defer f.keptMu.Unlock()
+	f.kept.Keep(agent, service, caller, packet)
+}
+
+// rerouteKept routes the kept packets of the agents that are dead in a view to other agents, which reset their callers.
+func (f *Forwarder) rerouteKept(v *ctrl.View) {
+	f.keptMu.Lock()
+	packets := f.kept.TakeOfDead(v.Table)
+	f.keptMu.Unlock()
+	if len(packets) == 0 {
+		return
+	}
+	f.log.Info("rerouting packets of callers whose agents are dead, so that other agents reset them", "packets", len(packets))
+	f.group.Task(func() {
+		var reader connid.Reader
+		var codec frame.Codec
+		out := ipv4.NewPacketConn(f.flow)
+		for _, p := range packets {
+			f.reroute(v, &reader, &codec, out, p)
+			if !group.Sleep(f.group.Context(), reroutePause) {
+				return
+			}
+		}
+	})
+}
+
+// reroute routes one kept packet with the table of a view.
+func (f *Forwarder) reroute(v *ctrl.View, reader *connid.Reader, codec *frame.Codec, out *ipv4.PacketConn, p route.KeptPacket) {
+	to, outcome := v.Table.Decide(v.Keys, reader, p.Service, p.Packet)
+	f.counts.outcomes[outcome].Inc()
+	if outcome != route.Rerouted {
+		return
+	}
+	encoded := codec.Encode(make([]byte, frame.Overhead+len(p.Packet)), v.Keys, frame.Frame{
+		Kind: frame.KindToAgent, Service: p.Service, Caller: p.Caller, Packet: p.Packet,
+	})
+	writeAll(out, []ipv4.Message{newMessage(encoded, to)})
+}
+
 // forwardAnswers forwards the packets in agents' frames to callers until the context ends.
 func (f *Forwarder) forwardAnswers(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = f.flow.Close() })
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -24,6 +24,8 @@
 	ExtraAgentSettings map[string]any
 	// KeySettle is the agents' setting keySettleMillis.
 	KeySettle time.Duration
+	// Suspicion is the nodes' setting suspicionMillis; zero leaves the default.
+	Suspicion time.Duration
 	// RelayTargets starts a fault-injecting relay between each agent and its target.
 	RelayTargets bool
 	// RelayPlatform starts a fault-injecting relay between all processes and the platform.
--- a/test/fleet/settings.go
+++ b/test/fleet/settings.go
@@ -97,7 +97,7 @@
 
 // nodeSettings returns the settings that agents and balancers share.
 func (f *Fleet) nodeSettings(name, ip string) map[string]any {
-	return map[string]any{
+	settings := map[string]any{
 		"instance":      name,
 		"dataCentre":    "port-louis-1",
 		"region":        "mauritius",
@@ -114,6 +114,10 @@
 			"keyFile":         f.path("fleet.key"),
 		},
 	}
+	if f.Suspicion != 0 {
+		settings["control"] = map[string]any{"suspicionMillis": f.Suspicion.Milliseconds()}
+	}
+	return settings
 }
 
 func (f *Fleet) writeJSON(name string, value any) error {
--- a/test/proofs/failure_test.go
+++ b/test/proofs/failure_test.go
@@ -35,6 +35,26 @@
 	checkBookings(t, f, r)
 }
 
+// Guards against a caller that is reset only at its next retransmission after its agent was declared dead: retransmissions
+// are ever further apart, so a death that is noticed a little later, as under load, delays some resets by many seconds. The
+// suspicion lasts so long here that the seventh retransmission, after about 6 s, is over.
+func TestCallersAreResetWhenTheirAgentIsDeclaredDead(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.Suspicion = 6 * time.Second
+	startFleet(t, f, 3, 4, 15*time.Millisecond)
+	report := startCallers(t, f, atelier, 24*time.Second, "--callers", "120", "--period", "500ms")
+	time.Sleep(5 * time.Second)
+	f.Agents[1].Kill()
+	r := report()
+	t.Logf("callers were reset after %v ms", r.FeedStallMillis)
+	is.True(r.FeedsBroken > 0)
+	for _, ms := range r.FeedStallMillis {
+		is.True(time.Duration(ms)*time.Millisecond < agentDeathResetLimit)
+	}
+	checkBookings(t, f, r)
+}
+
 // Guards against an idle caller, which sends only keepalives, that is not reset after its agent was killed.
 func TestIdleCallerIsResetWhenItsAgentIsKilled(t *testing.T) {
 	is := is.New(t)
