gate, steer: a confirmed flow carries the target's load; service times are sampled from all answers

Now an agent's confirmation of a new flow carries the load, and only offers without an answer are counted. - The service time was sampled only from requests that found a free slot, and the first sample alone set it: at 44% of the capacity over 100 targets three got nothing (a long first sample, never corrected) and two were used to 98% (a short one, then never a free slot). Now the first samples weigh the same, answers in a busy period count too, and an estimate expires after 5 s; without one a target is expected to be like the others of its service. Ruled out: longer queues at targets and more candidates (the pathology stays).

--- a/core/coord/gate/gate.go
+++ b/core/coord/gate/gate.go
@@ -74,8 +74,6 @@
 	// objectiveFraction is the fraction of the latency objective within which a new request is expected to be answered, so that
 	// most are answered within the whole objective.
 	objectiveFraction = 0.6
-	// serviceTimeSmoothing is the weight of one sample in the moving average of the service time.
-	serviceTimeSmoothing = 0.1
 	// meanOutstandingWindow is the time constant of the moving average of outstanding requests.
 	meanOutstandingWindow = 2 * time.Second
 )
@@ -100,8 +98,8 @@
 	// meanOutstanding is the moving average of outstanding over meanOutstandingWindow.
 	meanOutstanding float64
 	lastTick        time.Time
-	// serviceTime is the moving average of the time of an answer that did not wait for a slot; zero if unknown.
-	serviceTime time.Duration
+	// serviceTime estimates the target's service time.
+	serviceTime serviceTimer
 	// objective is the latency objective of the most recently offered flow; zero if unknown.
 	objective time.Duration
 	// mayMissFlowsUntil is until when a gate that started beside a running target may not know all of the target's flows. After
@@ -155,8 +153,8 @@
 	outstandingSince time.Time
 	// requestReceived is set once the first request has arrived.
 	requestReceived bool
-	// sampleAnswer is true if the time to the next answer is a sample of the service time: the request did not wait for a slot.
-	sampleAnswer bool
+	// hadFreeSlot is true if a slot was free for the outstanding request when it arrived.
+	hadFreeSlot bool
 	// finClient and finTarget are set once the client or the target has finished its direction.
 	finClient bool
 	finTarget bool
--- a/core/coord/gate/inbound.go
+++ b/core/coord/gate/inbound.go
@@ -60,7 +60,7 @@
 	}
 	g.objective = m.LatencyObjective
 	// A late flow may use a free slot only: the target's queue is kept for flows that can still be answered in time.
-	if headroom := g.headroom(); headroom == 0 || m.Late && !g.hasFreeSlot() {
+	if headroom := g.headroom(now); headroom == 0 || m.Late && !g.hasFreeSlot() {
 		g.reportedFull = g.reportedFull || headroom == 0
 		g.refusedLate = g.refusedLate || headroom > 0
 		g.refuse(now, from, m.Config, seg, relay.ReasonFull)
@@ -73,13 +73,13 @@
 
 // headroom returns how many more requests may be sent to the target. The limit is such that a new request would still be answered
 // within its latency objective.
-func (g *Gate) headroom() int {
+func (g *Gate) headroom(now time.Time) int {
 	if g.target.slots <= 0 {
 		return math.MaxInt32
 	}
 	perSlot := float64(maxOutstandingPerSlot)
-	if g.serviceTime > 0 && g.objective > 0 {
-		perSlot = min(maxOutstandingPerSlot, max(minOutstandingPerSlot, objectiveFraction*float64(g.objective)/float64(g.serviceTime)))
+	if serviceTime := g.serviceTime.estimate(now); serviceTime > 0 && g.objective > 0 {
+		perSlot = min(maxOutstandingPerSlot, max(minOutstandingPerSlot, objectiveFraction*float64(g.objective)/float64(serviceTime)))
 	}
 	return max(0, int(perSlot*float64(g.target.slots))-g.outstanding)
 }
@@ -161,34 +161,33 @@
 	f.requestReceived = true
 	f.outstanding = true
 	f.outstandingSince = now
-	f.sampleAnswer = g.outstanding <= max(1, g.target.slots)
+	f.hadFreeSlot = g.outstanding <= max(1, g.target.slots)
 }
 
-// endRequest ends the flow's outstanding request, if there is one, and samples the service time. If the target was reported as
-// full, or a late flow was refused, and there is headroom or a free slot now, the balancers get a report at once,
-// unless the last one is too recent.
+// endRequest ends the flow's outstanding request, if there is one, with an answer, and samples the service time. If the target was
+// reported as full, or a late flow was refused, and there is headroom or a free slot now, the balancers get a report at once, unless
+// the last one is too recent.
 func (g *Gate) endRequest(now time.Time, f *flow) {
 	if !f.outstanding {
 		return
 	}
-	f.outstanding = false
-	g.outstanding--
-	hasHeadroom := g.reportedFull && g.headroom() > 0 || g.refusedLate && g.hasFreeSlot()
-	if hasHeadroom && now.Sub(g.lastReport) >= g.headroomReportInterval() {
-		g.sendReports(now)
-	}
 	took := now.Sub(f.outstandingSince)
+	g.uncountRequest(now, f)
 	if f.requestReceived {
+		busy := g.outstanding >= g.target.slots
+		g.serviceTime.recordAnswer(now, took, f.hadFreeSlot, busy, max(1, g.target.slots))
 		g.actions.OnAnswer(took)
 	}
-	if !f.sampleAnswer {
-		return
-	}
-	if g.serviceTime == 0 {
-		g.serviceTime = took
-		return
+}
+
+// uncountRequest ends the flow's outstanding request without an answer.
+func (g *Gate) uncountRequest(now time.Time, f *flow) {
+	f.outstanding = false
+	g.outstanding--
+	hasHeadroom := g.reportedFull && g.headroom(now) > 0 || g.refusedLate && g.hasFreeSlot()
+	if hasHeadroom && now.Sub(g.lastReport) >= g.headroomReportInterval() {
+		g.sendReports(now)
 	}
-	g.serviceTime += time.Duration(serviceTimeSmoothing * float64(took-g.serviceTime))
 }
 
 func (g *Gate) closeIfFinished(id state.FlowID, f *flow) {
--- a/core/coord/gate/outbound.go
+++ b/core/coord/gate/outbound.go
@@ -57,7 +57,7 @@
 	f.phase = open
 	g.openFlows++
 	g.actions.OnDecision(relay.Decision{Event: event, Flow: id, Peer: f.balancer, Age: now.Sub(f.createdAt), Count: g.openFlows})
-	g.sendLocations(id, f)
+	g.sendLocations(now, id, f)
 }
 
 // discoverFlow adds an unknown flow on which the target sent a packet: in this way an agent that started after its target
--- a/core/coord/gate/target.go
+++ b/core/coord/gate/target.go
@@ -127,6 +127,7 @@
 		delete(pastIDs, h.ID)
 		g.resetAllFlows(now)
 	}
+	g.serviceTime = serviceTimer{}
 	g.target = target{
 		known:         true,
 		id:            h.ID,
@@ -299,6 +300,6 @@
 	return Summary{
 		Target: g.target.id, Phase: g.Phase(), Refusal: g.refusalReason(), KnowsAllFlows: g.knowsAllFlows(now),
 		HeartbeatAge: relay.AgeOf(now, g.target.lastHeartbeat), OpenFlows: g.openFlows, Outstanding: g.outstanding,
-		ServiceTime: g.serviceTime,
+		ServiceTime: g.serviceTime.estimate(now),
 	}
 }
--- a/core/coord/gate/tick.go
+++ b/core/coord/gate/tick.go
@@ -38,9 +38,8 @@
 		case now.Sub(f.createdAt) > g.settings.FlowTTL && idle > closedFlowTTL:
 			g.removeFlow(id, f)
 		case f.outstanding && now.Sub(f.outstandingSince) > f.requestTimeout():
-			f.sampleAnswer = false
 			f.requestReceived = false
-			g.endRequest(now, f)
+			g.uncountRequest(now, f)
 		}
 	}
 }
@@ -75,23 +74,24 @@
 
 // loadReport returns a load report of the target.
 func (g *Gate) loadReport(now time.Time) relay.Message {
+	return relay.Message{Kind: relay.KindLoad, Service: g.settings.Service.ID(), HasLoad: true, Load: g.load(now)}
+}
+
+// load returns the target's load.
+func (g *Gate) load(now time.Time) relay.Load {
 	reason := g.refusalReason()
-	return relay.Message{
-		Kind:    relay.KindLoad,
-		Service: g.settings.Service.ID(),
-		Load: relay.Load{
-			Accepting:       reason == relay.ReasonNone,
-			Reason:          reason,
-			Outstanding:     g.outstanding,
-			MeanOutstanding: g.meanOutstanding,
-			Headroom:        g.headroom(),
-			Flows:           g.openFlows,
-			Slots:           g.target.slots,
-			ServiceTime:     g.serviceTime,
-			WarmupLeft:      max(0, g.target.warmupUntil.Sub(now)),
-			KnowsAllFlows:   g.knowsAllFlows(now),
-			ReportInterval:  g.reportInterval(),
-		},
+	return relay.Load{
+		Accepting:       reason == relay.ReasonNone,
+		Reason:          reason,
+		Outstanding:     g.outstanding,
+		MeanOutstanding: g.meanOutstanding,
+		Headroom:        g.headroom(now),
+		Flows:           g.openFlows,
+		Slots:           g.target.slots,
+		ServiceTime:     g.serviceTime.estimate(now),
+		WarmupLeft:      max(0, g.target.warmupUntil.Sub(now)),
+		KnowsAllFlows:   g.knowsAllFlows(now),
+		ReportInterval:  g.reportInterval(),
 	}
 }
 
--- a/core/coord/relay/message.go
+++ b/core/coord/relay/message.go
@@ -132,7 +132,10 @@
 	// Late is true in a KindOpen whose client has already waited for longer than the latency objective.
 	Late   bool
 	Reason Reason
-	Load   Load
+	// HasLoad is true in a KindLoad, and in the KindLocation with which an agent confirms a new flow to the flow's balancer.
+	HasLoad bool
+	// Load is set if HasLoad is true.
+	Load Load
 	// Flows are the queried flows in a KindQuery, and those that the target does not hold in a KindQueryReply; at most MaxFlows.
 	Flows []state.FlowID
 	// Unresolved are the queried flows that the target may hold, in a KindQueryReply; at most MaxFlows.
--- a/core/coord/steer/bench_test.go
+++ b/core/coord/steer/bench_test.go
@@ -38,7 +38,7 @@
 	}
 	b.SetMembers(start, members)
 	for _, m := range members {
-		b.HandleMessage(start, m.Flow, relay.Message{Kind: relay.KindLoad, Service: m.Service.ID(), Load: relay.Load{
+		b.HandleMessage(start, m.Flow, relay.Message{Kind: relay.KindLoad, HasLoad: true, Service: m.Service.ID(), Load: relay.Load{
 			Accepting: true, Headroom: 1 << 20, Slots: 4, ReportInterval: time.Second,
 		}}, state.Segment{})
 	}
@@ -89,7 +89,7 @@
 // queued.
 func BenchmarkLoadReportWithQueuedFlows(b *testing.B) {
 	balancer := newBenchBalancer(200)
-	full := relay.Message{Kind: relay.KindLoad, Service: service.ID(), Load: relay.Load{Accepting: true, Slots: 4, ReportInterval: time.Second}}
+	full := relay.Message{Kind: relay.KindLoad, HasLoad: true, Service: service.ID(), Load: relay.Load{Accepting: true, Slots: 4, ReportInterval: time.Second}}
 	agentAt := func(n int) netip.AddrPort {
 		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(n)}), 7700)
 	}
--- a/core/coord/steer/choose.go
+++ b/core/coord/steer/choose.go
@@ -20,7 +20,7 @@
 	// confirmTimeout is how long an agent has to confirm a new flow before a retransmitted opening packet is offered to
 	// another target. It is shorter than the time after which clients retransmit.
 	confirmTimeout = 150 * time.Millisecond
-	// defaultServiceTime is the service time assumed for a target that has not reported any.
+	// defaultServiceTime is the service time assumed while no target of the service has reported any.
 	defaultServiceTime = 50 * time.Millisecond
 	// warmupSlowdownFactor is how much slower a target is assumed to be during its warm-up.
 	warmupSlowdownFactor = 1.6
@@ -47,7 +47,7 @@
 	p.since = now
 	p.confirmed = false
 	b.flows[seg.Flow] = p
-	t.sentSinceReport++
+	t.unansweredOffers++
 	b.actions.OnDecision(relay.Decision{
 		Event: relay.EventPlaced, Flow: seg.Flow, Peer: t.address, Config: b.config.Version,
 		Age: relay.AgeOf(now, t.lastReportAt), Count: considered,
@@ -144,8 +144,8 @@
 // service time, divided by the slots (the join-the-shortest-expected-delay policy).
 func (b *Balancer) cost(t *target) time.Duration {
 	slots := float64(max(1, t.load.Slots))
-	work := max(float64(t.load.Outstanding), t.load.MeanOutstanding) + float64(t.sentSinceReport) + 1
-	cost := time.Duration(work * float64(t.serviceTime()) / slots)
+	work := max(float64(t.load.Outstanding), t.load.MeanOutstanding) + float64(t.unansweredOffers) + 1
+	cost := time.Duration(work * float64(b.serviceTime(t)) / slots)
 	if t.dataCentre != b.settings.DataCentre {
 		cost += crossDataCentrePenalty
 	}
--- a/core/coord/steer/lateness.go
+++ b/core/coord/steer/lateness.go
@@ -29,7 +29,7 @@
 		known := 0
 		for _, t := range targets {
 			if t.load.ServiceTime > 0 && t.load.Accepting {
-				sum += t.serviceTime()
+				sum += b.serviceTime(t)
 				known++
 			}
 		}
@@ -39,9 +39,13 @@
 	}
 }
 
-// serviceTime is the expected service time of a request at the target, which is longer during the target's warm-up.
-func (t *target) serviceTime() time.Duration {
+// serviceTime is the expected service time of a request at a target, which is longer during the target's warm-up. One whose
+// own is not known is expected to take as long as the others of its service.
+func (b *Balancer) serviceTime(t *target) time.Duration {
 	d := t.load.ServiceTime
+	if d == 0 {
+		d = b.serviceTimes[t.service]
+	}
 	if d == 0 {
 		d = defaultServiceTime
 	}
--- a/core/coord/steer/messages.go
+++ b/core/coord/steer/messages.go
@@ -62,6 +62,12 @@
 	}
 	delete(b.queue, m.Flow)
 	p := b.flows[m.Flow]
+	if m.HasLoad && from == m.Holder {
+		if p != nil && p.target == t && !p.confirmed {
+			t.offerAnswered()
+		}
+		t.load = m.Load
+	}
 	switch {
 	case p != nil && p.confirmed && p.target != t && p.target.running():
 		// A flow does not move. A delayed copy of the opening packet has opened it at a second target too, whose answer
@@ -111,6 +117,7 @@
 	if p == nil || p.confirmed || p.target.address != from || !seg.Opens {
 		return
 	}
+	p.target.offerAnswered()
 	route, ok := b.config.Routes[seg.Flow.Virtual]
 	switch {
 	case m.Reason != relay.ReasonFull:
--- a/core/coord/steer/queue.go
+++ b/core/coord/steer/queue.go
@@ -179,7 +179,7 @@
 		case t.lastReportAt.IsZero():
 			headroom[t.service] += max(1, t.load.Slots)
 		default:
-			headroom[t.service] += t.load.Headroom - t.sentSinceReport
+			headroom[t.service] += t.load.Headroom - t.unansweredOffers
 		}
 	}
 	return headroom
--- a/core/coord/steer/steer_test.go
+++ b/core/coord/steer/steer_test.go
@@ -117,7 +117,7 @@
 
 // report sends an agent's load report to the balancer.
 func (h *harness) report(n byte, load relay.Load) {
-	h.b.HandleMessage(h.now, agent(n), relay.Message{Kind: relay.KindLoad, Service: service.ID(), Load: load}, state.Segment{})
+	h.b.HandleMessage(h.now, agent(n), relay.Message{Kind: relay.KindLoad, HasLoad: true, Service: service.ID(), Load: load}, state.Segment{})
 }
 
 // clear deletes the record of what the balancer did.
--- a/core/coord/steer/target.go
+++ b/core/coord/steer/target.go
@@ -64,8 +64,8 @@
 	lastReportAt time.Time
 	// lastHeardAt is when the agent's last message of any kind was received; zero if there was none since it started.
 	lastHeardAt time.Time
-	// sentSinceReport is how many new flows were sent to the target since that report.
-	sentSinceReport int
+	// unansweredOffers is how many new flows were offered to the target since that report and neither confirmed nor refused.
+	unansweredOffers int
 	// avoidUntil is until when the target gets no new flows because it did not answer an opening packet.
 	avoidUntil time.Time
 	// queryFlows are the flows to name in the next query to the agent.
@@ -111,9 +111,12 @@
 	return now.Sub(since) > max(minUnresponsiveTimeout, t.reportIntervals(unresponsiveIntervals))
 }
 
+// offerAnswered records that the target has confirmed or refused a new flow.
+func (t *target) offerAnswered() { t.unansweredOffers = max(0, t.unansweredOffers-1) }
+
 // accepting reports whether the target can be given a new flow now.
 func (t *target) accepting(now time.Time) bool {
-	return t.serving(now) && !now.Before(t.avoidUntil) && !now.Before(t.fullUntil) && (t.lastReportAt.IsZero() || t.load.Headroom > t.sentSinceReport)
+	return t.serving(now) && !now.Before(t.avoidUntil) && !now.Before(t.fullUntil) && (t.lastReportAt.IsZero() || t.load.Headroom > t.unansweredOffers)
 }
 
 // running reports whether the agent is running according to the membership.
@@ -194,7 +197,7 @@
 		t.load = relay.Load{Slots: m.Slots, ReportInterval: b.reportInterval()}
 		t.changedAt = now
 		t.startedAt = now
-		t.sentSinceReport = 0
+		t.unansweredOffers = 0
 		t.avoidUntil = time.Time{}
 		t.fullUntil = time.Time{}
 		t.refusesLateUntil = time.Time{}
@@ -235,7 +238,7 @@
 	}
 	t.load = m.Load
 	t.lastReportAt = now
-	t.sentSinceReport = 0
+	t.unansweredOffers = 0
 	t.fullUntil = time.Time{}
 	t.refusesLateUntil = time.Time{}
 	if m.Load.Headroom > 0 && len(b.queue) > 0 {
@@ -313,10 +316,10 @@
 	Health    state.Health
 	Accepting bool
 	Load      relay.Load
-	// ReportAge is the time since the last load report, zero if there was none; SentSinceReport is how many new flows were
-	// sent to the target since then.
-	ReportAge       time.Duration
-	SentSinceReport int
+	// ReportAge is the time since the last load report, zero if there was none; UnansweredOffers is how many new flows were
+	// offered to the target since then and neither confirmed nor refused.
+	ReportAge        time.Duration
+	UnansweredOffers int
 }
 
 // Summary is the state of a balancer for operators.
@@ -343,7 +346,7 @@
 	for _, t := range b.targets {
 		statuses = append(statuses, TargetStatus{
 			Address: t.address, Agent: t.id, Service: t.service, Health: t.health, Accepting: t.accepting(now),
-			Load: t.load, ReportAge: relay.AgeOf(now, t.lastReportAt), SentSinceReport: t.sentSinceReport,
+			Load: t.load, ReportAge: relay.AgeOf(now, t.lastReportAt), UnansweredOffers: t.unansweredOffers,
 		})
 	}
 	return statuses
--- a/core/proto/hops/hops_test.go
+++ b/core/proto/hops/hops_test.go
@@ -46,7 +46,7 @@
 		Unresolved:       drawFlows(t, "unresolved"),
 		Packet:           rapid.SliceOfN(rapid.Byte(), 1, 1300).Draw(t, "packet"),
 	}
-	if m.Kind == relay.KindLoad {
+	if m.HasLoad = rapid.Bool().Draw(t, "has load"); m.HasLoad {
 		m.Load = relay.Load{
 			KnowsAllFlows:   rapid.Bool().Draw(t, "knows all flows"),
 			Accepting:       rapid.Bool().Draw(t, "accepting"),
@@ -110,7 +110,7 @@
 }
 
 func FuzzDecodeHops(f *testing.F) {
-	f.Add(hops.AppendRelay(nil, relay.Message{Kind: relay.KindLoad, Load: relay.Load{Accepting: true, Outstanding: 3}}))
+	f.Add(hops.AppendRelay(nil, relay.Message{Kind: relay.KindLoad, HasLoad: true, Load: relay.Load{Accepting: true, Outstanding: 3}}))
 	f.Add(hops.AppendGossip(nil, gossip.Message{Kind: gossip.KindPing, From: "a/1", Digest: &gossip.Digest{}}))
 	f.Fuzz(func(t *testing.T, datagram []byte) {
 		if m, err := hops.DecodeRelay(datagram); err == nil {
--- a/core/proto/hops/relay.go
+++ b/core/proto/hops/relay.go
@@ -44,7 +44,7 @@
 // hundredthsPerUnit converts MeanOutstanding, which is encoded as a whole number of hundredths.
 const hundredthsPerUnit = 100
 
-// AppendRelay appends the datagram for m to b. The load is encoded only in a message of KindLoad.
+// AppendRelay appends the datagram for m to b.
 func AppendRelay(b []byte, m relay.Message) []byte {
 	b = append(b, byte(TypeRelay))
 	b = appendVarint(b, relayKind, uint64(m.Kind))
@@ -59,7 +59,7 @@
 	b = appendVarint(b, relayLate, protowire.EncodeBool(m.Late))
 	b = appendFlows(b, relayFlows, m.Flows)
 	b = appendFlows(b, relayUnresolved, m.Unresolved)
-	if m.Kind == relay.KindLoad {
+	if m.HasLoad {
 		b = appendBytes(b, relayLoad, appendLoad(nil, m.Load))
 	}
 	return appendBytes(b, relayPacket, m.Packet)
@@ -119,7 +119,7 @@
 	var err error
 	switch f.number {
 	case relayKind:
-		m.Kind = relay.Kind(f.value)
+		m.Kind = relay.Kind(min(f.value, uint64(relay.KindCount)))
 	case relayFlow:
 		m.Flow, err = decodeFlow(f.bytes)
 	case relayService:
@@ -131,6 +131,7 @@
 	case relayReason:
 		m.Reason = relay.Reason(f.value)
 	case relayLoad:
+		m.HasLoad = true
 		err = forEachField(f.bytes, func(l field) error { setLoadField(&m.Load, l); return nil })
 	case relayPacket:
 		m.Packet = f.bytes
--- a/io/node/dump.go
+++ b/io/node/dump.go
@@ -52,9 +52,9 @@
 	Accepting bool `json:"takesFlows"`
 	// LoadAge is the time since Load was received.
 	LoadAge int64 `json:"heardMillisAgo"`
-	// SentSinceReport is the number of new flows sent to the target since Load was received.
-	SentSinceReport int      `json:"sentSince"`
-	Load            LoadDump `json:"load"`
+	// UnansweredOffers is the number of new flows offered to the target since Load was received that it has not answered.
+	UnansweredOffers int      `json:"unansweredOffers"`
+	Load             LoadDump `json:"load"`
 }
 
 // LoadDump is a load report; relay.Load describes the fields.
@@ -147,14 +147,14 @@
 	list := make([]TargetDump, 0, len(statuses))
 	for _, s := range statuses {
 		list = append(list, TargetDump{
-			Address:         s.Address.String(),
-			Agent:           string(s.Agent),
-			Service:         string(s.Service),
-			Health:          s.Health.String(),
-			Accepting:       s.Accepting,
-			LoadAge:         s.ReportAge.Milliseconds(),
-			SentSinceReport: s.SentSinceReport,
-			Load:            dumpLoad(s.Load),
+			Address:          s.Address.String(),
+			Agent:            string(s.Agent),
+			Service:          string(s.Service),
+			Health:           s.Health.String(),
+			Accepting:        s.Accepting,
+			LoadAge:          s.ReportAge.Milliseconds(),
+			UnansweredOffers: s.UnansweredOffers,
+			Load:             dumpLoad(s.Load),
 		})
 	}
 	slices.SortFunc(list, func(x, y TargetDump) int {
