gate, steer: a target that fails its requests is ejected

Change: passive outlier detection at the agent. The balancers are told at once and eject at most half of a service. What a layer-4 system can't see: answers that report an error, since the bytes of a flow are not read.

--- a/core/coord/gate/gate.go
+++ b/core/coord/gate/gate.go
@@ -93,6 +93,8 @@
 	owners relay.Owners
 	// outstanding is the number of flows with an outstanding request, which are those with their outstanding flag set.
 	outstanding int
+	// failures judges the target by the outcomes of its requests.
+	failures failureDetector
 	// openFlows is the number of flows in phase open.
 	openFlows int
 	// meanOutstanding is the moving average of outstanding over meanOutstandingWindow.
--- a/core/coord/gate/inbound.go
+++ b/core/coord/gate/inbound.go
@@ -74,6 +74,9 @@
 // headroom returns how many more requests may be sent to the target. The limit is such that a new request would still be answered
 // within its latency objective.
 func (g *Gate) headroom(now time.Time) int {
+	if g.failures.onProbation(now) {
+		return max(0, 1-g.outstanding)
+	}
 	if g.target.slots <= 0 {
 		return math.MaxInt32
 	}
@@ -145,11 +148,25 @@
 	}
 	g.actions.Deliver(seg.Packet)
 	if seg.Resets {
+		if f.outstanding && f.requestReceived && now.Sub(f.outstandingSince) > unansweredTimeout {
+			g.recordFailure(now)
+		}
 		g.closeFlow(seg.Flow, f)
 	}
 	g.closeIfFinished(seg.Flow, f)
 }
 
+// recordFailure records that the target failed a request. If it is ejected for that, the balancers are told at once.
+func (g *Gate) recordFailure(now time.Time) {
+	if !g.failures.recordFailure(now) {
+		return
+	}
+	g.actions.OnDecision(relay.Decision{
+		Event: relay.EventTargetFailing, Peer: g.settings.Self, Age: g.failures.ejectionTime, Count: g.outstanding,
+	})
+	g.sendReports(now)
+}
+
 // startRequest counts the flow's request as outstanding, from its first packet.
 func (g *Gate) startRequest(now time.Time, f *flow) {
 	if f.phase == closed || f.outstanding && f.requestReceived {
@@ -176,6 +193,7 @@
 	if f.requestReceived {
 		busy := g.outstanding >= g.target.slots
 		g.serviceTime.recordAnswer(now, took, f.hadFreeSlot, busy, max(1, g.target.slots))
+		g.failures.recordAnswer(now)
 		g.actions.OnAnswer(took)
 	}
 }
--- a/core/coord/gate/outbound.go
+++ b/core/coord/gate/outbound.go
@@ -43,6 +43,9 @@
 		f.finTarget = true
 	}
 	if seg.Resets && f.phase != closed {
+		if f.outstanding {
+			g.recordFailure(now)
+		}
 		g.closeFlow(seg.Flow, f)
 	}
 	g.closeIfFinished(seg.Flow, f)
--- a/core/coord/gate/target.go
+++ b/core/coord/gate/target.go
@@ -127,6 +127,7 @@
 		delete(pastIDs, h.ID)
 		g.resetAllFlows(now)
 	}
+	g.failures = failureDetector{}
 	g.serviceTime = serviceTimer{}
 	g.target = target{
 		known:         true,
--- a/core/coord/gate/tick.go
+++ b/core/coord/gate/tick.go
@@ -38,6 +38,9 @@
 		case now.Sub(f.createdAt) > g.settings.FlowTTL && idle > closedFlowTTL:
 			g.removeFlow(id, f)
 		case f.outstanding && now.Sub(f.outstandingSince) > f.requestTimeout():
+			if f.requestReceived {
+				g.recordFailure(now)
+			}
 			f.requestReceived = false
 			g.uncountRequest(now, f)
 		}
@@ -86,6 +89,7 @@
 		Outstanding:     g.outstanding,
 		MeanOutstanding: g.meanOutstanding,
 		Headroom:        g.headroom(now),
+		Failing:         g.failures.ejected(now),
 		Flows:           g.openFlows,
 		Slots:           g.target.slots,
 		ServiceTime:     g.serviceTime.estimate(now),
--- a/core/coord/relay/decision.go
+++ b/core/coord/relay/decision.go
@@ -49,6 +49,8 @@
 	EventAgentRecovered
 	// EventQueued: a balancer queued a new flow that can't be placed yet.
 	EventQueued
+	// EventTargetFailing: an agent ejected its target, which fails requests.
+	EventTargetFailing
 	// EventCount is the number of events.
 	EventCount
 )
@@ -58,6 +60,7 @@
 	names := [EventCount]string{
 		"placed", "refused", "noRoute", "reset", "search", "found", "doubted", "accepted", "turnedAway", "notHeld",
 		"adopted", "ended", "targetReady", "targetDraining", "targetGone", "agentSilent", "agentHeard", "waits",
+		"targetFailing",
 	}
 	if e >= EventCount {
 		return "unknown"
--- a/core/coord/relay/message.go
+++ b/core/coord/relay/message.go
@@ -109,6 +109,8 @@
 	WarmupLeft time.Duration
 	// KnowsAllFlows is true if the agent knows every flow that the target holds.
 	KnowsAllFlows bool
+	// Failing is true while the target fails requests, although it accepts new flows.
+	Failing bool
 	// ReportInterval is the time until the next report. A balancer that receives none for several intervals stops sending new
 	// flows.
 	ReportInterval time.Duration
--- a/core/coord/steer/cluster_test.go
+++ b/core/coord/steer/cluster_test.go
@@ -394,6 +394,34 @@
 	return n
 }
 
+// A target resets each request at once while its health check is good, so it looks idle and attracts flows.
+func TestFastFailingTargetGetsFewFlows(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(1, 20)
+	c.targets[3].failing = true
+	n := countsOf(c.arrive(400, 10*time.Second)) // 30% of the capacity
+	t.Logf("%d of %d requests failed, %d at that target", n.failed, n.failed+n.late+n.inTime, c.targets[3].received)
+	is.True(c.targets[3].received <= 20) // a tenth of its share of 200
+	c.targets[3].failing = false
+	c.arrive(400, 20*time.Second)
+	before := c.targets[3].received
+	c.arrive(400, 10*time.Second)
+	is.True(c.targets[3].received-before > 100) // it serves again, and gets a fair share
+}
+
+// If most targets fail, ejecting them would leave too few for the load.
+func TestTargetsAreNotEjectedIfMostFail(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(1, 10)
+	for _, target := range c.targets[:6] {
+		target.failing = true
+	}
+	c.arrive(100, 10*time.Second)
+	for _, target := range c.targets[:6] {
+		is.True(target.received > 30)
+	}
+}
+
 // A burst of twice the usual load exceeds the capacity for a second. Afterwards all are served in time again.
 func TestServedInTimeAgainAfterABurst(t *testing.T) {
 	is := is.New(t)
--- a/core/coord/steer/messages.go
+++ b/core/coord/steer/messages.go
@@ -66,7 +66,7 @@
 		if p != nil && p.target == t && !p.confirmed {
 			t.offerAnswered()
 		}
-		t.load = m.Load
+		b.setLoad(now, t, m.Load)
 	}
 	switch {
 	case p != nil && p.confirmed && p.target != t && p.target.running():
--- a/core/coord/steer/steer.go
+++ b/core/coord/steer/steer.go
@@ -267,6 +267,7 @@
 		}
 	}
 	b.updateServiceTimes()
+	b.updateEjections(now)
 	b.placeQueued(now)
 	b.FlushQueries()
 	if !now.Before(b.nextTimeoutCheck) {
--- a/core/coord/steer/target.go
+++ b/core/coord/steer/target.go
@@ -74,6 +74,8 @@
 	timedOut bool
 	// fullUntil is until when the target gets no new flows because it was full; the next load report clears it.
 	fullUntil time.Time
+	// ejected is true while the target gets no new flows because it fails requests.
+	ejected bool
 	// refusesLateUntil is until when the target gets no late flows because it refused one; the next load report clears
 	// it.
 	refusesLateUntil time.Time
@@ -116,7 +118,7 @@
 
 // accepting reports whether the target can be given a new flow now.
 func (t *target) accepting(now time.Time) bool {
-	return t.serving(now) && !now.Before(t.avoidUntil) && !now.Before(t.fullUntil) && (t.lastReportAt.IsZero() || t.load.Headroom > t.unansweredOffers)
+	return t.serving(now) && !t.ejected && !now.Before(t.avoidUntil) && !now.Before(t.fullUntil) && (t.lastReportAt.IsZero() || t.load.Headroom > t.unansweredOffers)
 }
 
 // running reports whether the agent is running according to the membership.
@@ -236,7 +238,7 @@
 		t.timedOut = false
 		b.actions.OnDecision(relay.Decision{Event: relay.EventAgentRecovered, Peer: t.address, Age: relay.AgeOf(now, t.lastReportAt)})
 	}
-	t.load = m.Load
+	b.setLoad(now, t, m.Load)
 	t.lastReportAt = now
 	t.unansweredOffers = 0
 	t.fullUntil = time.Time{}
@@ -246,6 +248,15 @@
 	}
 }
 
+// setLoad sets the load of a target.
+func (b *Balancer) setLoad(now time.Time, t *target, load relay.Load) {
+	failingChanged := t.load.Failing != load.Failing
+	t.load = load
+	if failingChanged {
+		b.updateEjections(now)
+	}
+}
+
 // checkAgentTimeouts logs the agents that have become unresponsive since the last check.
 func (b *Balancer) checkAgentTimeouts(now time.Time) {
 	for _, t := range b.targets {
--- a/core/proto/hops/hops_test.go
+++ b/core/proto/hops/hops_test.go
@@ -50,6 +50,7 @@
 		m.Load = relay.Load{
 			KnowsAllFlows:   rapid.Bool().Draw(t, "knows all flows"),
 			Accepting:       rapid.Bool().Draw(t, "accepting"),
+			Failing:         rapid.Bool().Draw(t, "failing"),
 			Outstanding:     rapid.IntRange(0, 1000).Draw(t, "outstanding"),
 			MeanOutstanding: float64(rapid.IntRange(0, 1000).Draw(t, "mean outstanding")) / 4,
 			Headroom:        rapid.IntRange(0, 100).Draw(t, "headroom"),
--- a/core/proto/hops/relay.go
+++ b/core/proto/hops/relay.go
@@ -39,6 +39,7 @@
 	loadMeanOutstandingHundredths
 	loadHeadroom
 	loadKnowsAllFlows
+	loadFailing
 )
 
 // hundredthsPerUnit converts MeanOutstanding, which is encoded as a whole number of hundredths.
@@ -76,6 +77,7 @@
 	b = appendVarint(b, loadReportIntervalMillis, uint64(max(0, l.ReportInterval.Milliseconds())))
 	b = appendVarint(b, loadMeanOutstandingHundredths, uint64(max(0, l.MeanOutstanding*hundredthsPerUnit)))
 	b = appendVarint(b, loadKnowsAllFlows, protowire.EncodeBool(l.KnowsAllFlows))
+	b = appendVarint(b, loadFailing, protowire.EncodeBool(l.Failing))
 	return appendVarint(b, loadHeadroom, uint64(max(0, l.Headroom)))
 }
 
@@ -201,6 +203,8 @@
 		l.ReportInterval = decodeDuration(f.value, time.Millisecond)
 	case loadKnowsAllFlows:
 		l.KnowsAllFlows = f.value != 0
+	case loadFailing:
+		l.Failing = f.value != 0
 	case loadHeadroom:
 		l.Headroom = count
 	case loadMeanOutstandingHundredths:
