--- a/core/coord/gossip/gossip_test.go
+++ b/core/coord/gossip/gossip_test.go
@@ -294,3 +294,92 @@
 	}
 	is.Equal(records, 0)
 }
+
+// Messages of nodes that report no number of agents must not make a starting node believe that it knows all of them.
+func TestMembershipIsNotCompleteByMessagesWithoutAgentCount(t *testing.T) {
+	is := is.New(t)
+	w := newNetwork(1, 1)
+	for i := range 8 {
+		w.node(0).Receive(w.now, address(9), gossip.Message{Kind: gossip.KindUpdates, From: state.InstanceID(fmt.Sprint(i))})
+	}
+	is.True(!w.node(0).MembershipComplete())
+}
+
+// A member was presumed dead, and its announcement that it left arrives later. It has not been running since the earlier time.
+func TestDownSinceIsKeptWhenADeadMemberIsReportedAsLeft(t *testing.T) {
+	is := is.New(t)
+	w := newNetwork(1, 1)
+	member := state.Member{ID: "node-9/1", Incarnation: 1, Announcement: state.Announcement{Role: state.RoleAgent, Gossip: address(9)}}
+	receive := func(health state.Health) {
+		member.Health = health
+		w.node(0).Receive(w.now, address(8), gossip.Message{Kind: gossip.KindUpdates, From: "node-8/1", Members: []state.Member{member}})
+	}
+	receive(state.HealthAlive)
+	receive(state.HealthDead)
+	died := w.now
+	w.now = w.now.Add(time.Minute)
+	receive(state.HealthLeft)
+	since, down := w.node(0).DownSince(member.ID)
+	is.True(down)
+	is.Equal(since, died)
+}
+
+// Two machines with the same seed and events must send the same messages, also to members that are presumed dead.
+func TestSameSeedSendsTheSameMessages(t *testing.T) {
+	is := is.New(t)
+	sent := func() []netip.AddrPort {
+		m := gossip.New(state.Member{ID: "node-0/1", Announcement: state.Announcement{Gossip: address(0)}}, state.NewRecordSet(), 7)
+		now := time.Unix(1_800_000_000, 0)
+		var members []state.Member
+		for i := 1; i < 40; i++ {
+			members = append(members, state.Member{
+				ID: state.InstanceID(fmt.Sprintf("node-%d/1", i)), Incarnation: 1, Announcement: state.Announcement{Gossip: address(i)},
+			})
+		}
+		m.Receive(now, address(1), gossip.Message{Kind: gossip.KindUpdates, From: "node-1/1", Members: members})
+		for i := range members {
+			members[i].Health = state.HealthDead
+		}
+		m.Receive(now, address(1), gossip.Message{Kind: gossip.KindUpdates, From: "node-1/1", Members: members})
+		var to []netip.AddrPort
+		for range 2000 {
+			now = now.Add(step)
+			for _, s := range m.Tick(now) {
+				to = append(to, s.To)
+			}
+		}
+		return to
+	}
+	is.True(len(sent()) > 5)
+	is.Equal(sent(), sent())
+}
+
+// A member that does not answer must be probed through as many different members as are required, and not through itself.
+func TestIndirectProbesGoThroughDistinctMembers(t *testing.T) {
+	is := is.New(t)
+	m := gossip.New(state.Member{ID: "node-0/1", Announcement: state.Announcement{Gossip: address(0)}}, state.NewRecordSet(), 7)
+	now := time.Unix(1_800_000_000, 0)
+	var members []state.Member
+	for i := 1; i <= 5; i++ {
+		members = append(members, state.Member{
+			ID: state.InstanceID(fmt.Sprintf("node-%d/1", i)), Incarnation: 1, Announcement: state.Announcement{Gossip: address(i)},
+		})
+	}
+	m.Receive(now, address(1), gossip.Message{Kind: gossip.KindUpdates, From: "node-1/1", Members: members})
+	probes := 0
+	for range 200 {
+		now = now.Add(step)
+		helpers := map[netip.AddrPort]bool{}
+		for _, s := range m.Tick(now) {
+			if s.Message.Kind == gossip.KindPingRequest {
+				is.True(s.To != s.Message.TargetAddress)
+				helpers[s.To] = true
+			}
+		}
+		if len(helpers) > 0 && m.Size() >= 5 {
+			is.Equal(len(helpers), 3)
+			probes++
+		}
+	}
+	is.True(probes > 0)
+}
--- a/core/coord/gossip/machine.go
+++ b/core/coord/gossip/machine.go
@@ -82,7 +82,7 @@
 	index int
 	// deadAt is when a suspect is declared dead.
 	deadAt time.Time
-	// changedAt is when the row was last changed, by this node's clock.
+	// changedAt is when the row was last changed, by this node's clock; for a member that is down, when it went down.
 	changedAt time.Time
 }
 
@@ -277,8 +277,11 @@
 	}
 }
 
-// recordAgentReport stores an agent count received from another node.
+// recordAgentReport stores an agent count received from another node, if it reported one.
 func (m *Machine) recordAgentReport(count int) {
+	if count == 0 {
+		return
+	}
 	m.reported[m.reportsReceived%maxAgentReports] = count
 	m.reportsReceived++
 }
--- a/core/coord/gossip/merge.go
+++ b/core/coord/gossip/merge.go
@@ -70,7 +70,9 @@
 		m.digest[bucket] ^= memberHash(r.Member)
 	}
 	r.Member = member
-	r.changedAt = now
+	if !known || wasPresent || member.Present() {
+		r.changedAt = now
+	}
 	if member.Health == state.HealthSuspect {
 		r.deadAt = now.Add(m.suspicionTimeout())
 	}
--- a/core/coord/gossip/probe.go
+++ b/core/coord/gossip/probe.go
@@ -73,17 +73,22 @@
 	return nil
 }
 
-// sendIndirectProbes asks random members to ping the member that has not acknowledged the direct ping.
+// sendIndirectProbes asks indirectProbeCount random members, or all others if there are fewer, to ping the member that has not acknowledged the direct ping.
 func (m *Machine) sendIndirectProbes(out []Send) []Send {
 	member, ok := m.rows[m.probe.member]
 	if !ok {
 		return out
 	}
-	for range indirectProbeCount {
-		helper := m.randomPresent()
-		if helper == nil || helper.ID == member.ID {
+	sent := 0
+	for _, i := range m.rng.Perm(len(m.present)) {
+		helper := m.present[i]
+		if helper.ID == member.ID {
 			continue
 		}
+		if sent == indirectProbeCount {
+			break
+		}
+		sent++
 		out = append(out, m.prepare(helper.Gossip, Message{
 			Kind:          KindPingRequest,
 			Sequence:      m.probe.sequence,
--- a/core/coord/gossip/spread.go
+++ b/core/coord/gossip/spread.go
@@ -1,8 +1,10 @@
 package gossip
 
 import (
+	"cmp"
 	"math/bits"
 	"net/netip"
+	"slices"
 	"time"
 
 	"monsoonstep/core/state"
@@ -60,20 +62,20 @@
 	return append(out, m.prepare(r.Gossip, msg))
 }
 
-// randomDead returns a dead member, each with the same probability (reservoir sampling), or nil if there is none.
+// randomDead returns a dead member, each with the same probability, or nil if there is none. The order of the members in the map
+// has no influence on the choice.
 func (m *Machine) randomDead() *row {
-	var found *row
-	seen := 0
+	var dead []*row
 	for _, r := range m.rows {
-		if r.Health != state.HealthDead {
-			continue
-		}
-		seen++
-		if m.rng.IntN(seen) == 0 {
-			found = r
+		if r.Health == state.HealthDead {
+			dead = append(dead, r)
 		}
 	}
-	return found
+	if len(dead) == 0 {
+		return nil
+	}
+	slices.SortFunc(dead, func(x, y *row) int { return cmp.Compare(x.ID, y.ID) })
+	return dead[m.rng.IntN(len(dead))]
 }
 
 func (m *Machine) currentDigest() *Digest {
--- a/core/coord/steer/search.go
+++ b/core/coord/steer/search.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"bytes"
 	"net/netip"
 	"slices"
 	"time"
@@ -40,10 +41,10 @@
 // know the flow, the agents are asked: with a query that names many flows if the agent knows all flows of its target,
 // and otherwise with a probe, which carries the packet for the agent to try at its target.
 type search struct {
-	// segment is the packet that started the search; its Packet is the first of packets.
+	// segment is the packet that started the search; it is the first one in kept.
 	segment state.Segment
-	// packets are the packets that are sent to the holder once it is found.
-	packets [][]byte
+	// kept are the packets that are sent to the holder once it is found.
+	kept []state.Segment
 	// owners are the owners that were asked and have not replied yet.
 	owners []netip.AddrPort
 	// pending are the targets that were queried or probed and have not replied.
@@ -71,19 +72,20 @@
 	deadline time.Time
 }
 
-// keepPacket keeps a copy of a packet until the search ends.
-func (s *search) keepPacket(packet []byte) {
-	if len(s.packets) < maxKeptPackets {
-		s.packets = append(s.packets, append([]byte(nil), packet...))
+// keep keeps a copy of a packet until the search ends.
+func (s *search) keep(seg state.Segment) {
+	if len(s.kept) < maxKeptPackets {
+		seg.Packet = bytes.Clone(seg.Packet)
+		s.kept = append(s.kept, seg)
 	}
 }
 
 // startSearch starts the search for the holder of a flow. The targets in notFound are known not to hold it; if there
 // are any, the owners are not asked.
 func (b *Balancer) startSearch(now time.Time, seg state.Segment, notFound []*target) {
-	s := &search{segment: seg, since: now, notFound: notFound}
-	s.keepPacket(seg.Packet)
-	s.segment.Packet = s.packets[0]
+	s := &search{since: now, notFound: notFound}
+	s.keep(seg)
+	s.segment = s.kept[0]
 	b.searches[seg.Flow] = s
 	b.actions.OnDecision(relay.Decision{Event: relay.EventSearch, Flow: seg.Flow, Config: b.config.Version, Count: len(notFound)})
 	if len(notFound) == 0 {
@@ -155,7 +157,10 @@
 // probeAgents probes agents that have to try the packet at their targets: only one batch at a time, since the search
 // ends with the first target that holds the flow.
 func (b *Balancer) probeAgents(now time.Time, s *search, remaining []*target) {
-	remaining = remaining[:min(s.batchSize, len(remaining))]
+	if len(remaining) == 0 {
+		return
+	}
+	remaining = remaining[:min(s.batchSize, len(remaining), probeBurst)]
 	if !b.probeLimiter.take(now, len(remaining)) {
 		s.deadline = now.Add(searchRetryInterval)
 		return
@@ -301,12 +306,10 @@
 	b.actions.OnDecision(relay.Decision{
 		Event: relay.EventFound, Flow: s.segment.Flow, Peer: t.address, Config: b.config.Version, Age: now.Sub(s.since),
 	})
-	for i, packet := range s.packets {
+	for i, seg := range s.kept {
 		if i == 0 && delivered {
 			continue
 		}
-		seg := s.segment
-		seg.Packet = packet
 		if seg.Opens {
 			b.offer(t, seg, false)
 			continue
--- a/core/coord/steer/search_test.go
+++ b/core/coord/steer/search_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"monsoonstep/core/coord/relay"
+	"monsoonstep/core/coord/steer"
 	"monsoonstep/core/state"
 )
 
@@ -199,3 +200,50 @@
 	h.is.True(ok)
 	h.is.Equal(probe.to, agent(1))
 }
+
+// In a fleet of hundreds of agents that know nothing of their targets' flows, a batch of a search must not be larger than the
+// limit on probes allows: it would never be sent. A flow at the last agent is found all the same.
+func TestSearchAmongManyAgentsReachesTheLastOne(t *testing.T) {
+	h := newHarness(t)
+	h.b.Configure(config(1, service))
+	const agents = 1000
+	var list []state.Member
+	for i := range agents {
+		m := member(1, service, state.HealthAlive)
+		m.Flow = manyAgent(i)
+		m.ID = state.NewInstanceID(state.InstanceName(m.Flow.String()), 1)
+		list = append(list, m)
+	}
+	h.b.SetMembers(h.now, list)
+	h.now = h.now.Add(time.Second)
+	h.b.HandlePacket(h.now, dataSegment(flow(1)))
+	answered := 0
+	for end := h.now.Add(4 * time.Second); h.now.Before(end); h.now = h.now.Add(steer.TickPeriod) {
+		h.b.Tick(h.now)
+		for ; answered < len(h.sent); answered++ {
+			if h.sent[answered].Kind == relay.KindProbe {
+				m := relay.Message{Kind: relay.KindNotFound, Flow: flow(1)}
+				h.b.HandleMessage(h.now, h.sent[answered].to, m, state.Segment{})
+			}
+		}
+	}
+	h.is.Equal(h.count(relay.KindProbe), agents)
+}
+
+// manyAgent returns the address of the i-th of many agents.
+func manyAgent(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i)}), 7700)
+}
+
+// A search that the copy of an opening packet started keeps a data packet too. That is not an opening packet, and must not be
+// sent as one.
+func TestKeptPacketsKeepTheirKind(t *testing.T) {
+	h := newHarness(t)
+	h.settle(1, 2)
+	h.b.SetBalancers([]netip.AddrPort{self, otherBalancer})
+	h.b.HandlePacket(h.now, openingSegment(flow(1), 1))
+	h.b.HandlePacket(h.now, dataSegment(flow(1)))
+	h.receiveLocation(otherBalancer, agent(2), flow(1))
+	h.is.Equal(h.count(relay.KindOpen), 1)
+	h.is.Equal(h.count(relay.KindData), 1)
+}
--- a/core/coord/steer/steer.go
+++ b/core/coord/steer/steer.go
@@ -165,7 +165,7 @@
 		return
 	}
 	if s, searching := b.searches[seg.Flow]; searching {
-		s.keepPacket(seg.Packet)
+		s.keep(seg)
 		return
 	}
 	if _, isQueued := b.queue[seg.Flow]; isQueued {
