--- a/core/coord/admit/admit.go
+++ b/core/coord/admit/admit.go
@@ -59,8 +59,12 @@
 // New returns a gate that runs at most slots requests and queues at most maxQueued.
 func New(slots, maxQueued int) *Gate { return &Gate{slots: slots, maxQueued: maxQueued} }
 
-// Resize changes the limits. Requests that are running or queued are not affected.
-func (g *Gate) Resize(slots, maxQueued int) { g.slots, g.maxQueued = slots, maxQueued }
+// Resize changes the limits, and returns the decisions on queued requests that now run or are refused. Requests that are running,
+// or queued beyond a lower limit, are not affected.
+func (g *Gate) Resize(now time.Time, slots, maxQueued int) []Decision {
+	g.slots, g.maxQueued = slots, maxQueued
+	return g.startQueued(now)
+}
 
 // Running returns the number of requests that occupy a slot.
 func (g *Gate) Running() int { return g.running }
--- a/core/coord/admit/admit_test.go
+++ b/core/coord/admit/admit_test.go
@@ -87,3 +87,18 @@
 	out := g.Offer(start, admit.Request{ID: 3, Deadline: start.Add(1500 * time.Millisecond)})
 	is.True(out[0].Refused)
 }
+
+// An operator raises the number of slots during a backlog of long requests: the queued ones must not wait for one of those to
+// end.
+func TestQueuedRequestsStartWhenSlotsAreAdded(t *testing.T) {
+	is := is.New(t)
+	g := admit.New(1, 4)
+	for id := range uint64(3) {
+		g.Offer(start, admit.Request{ID: id, Class: state.ClassNormal, Deadline: start.Add(time.Minute)})
+	}
+	is.Equal(g.Queued(), 2)
+	decisions := g.Resize(start, 3, 4)
+	is.Equal(len(decisions), 2)
+	is.True(decisions[0].Run && decisions[1].Run)
+	is.Equal(g.Running(), 3)
+}
--- a/core/coord/dedup/dedup_test.go
+++ b/core/coord/dedup/dedup_test.go
@@ -186,3 +186,17 @@
 	decision, _ = other.Begin(now, key, 7)
 	is.Equal(decision, dedup.Replay) // the record was handed over
 }
+
+// An agent that leaves hands records over to one whose own records expire later. They must not stay until those do.
+func TestImportedRecordsExpireInTime(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	s := dedup.New(time.Minute, 1<<20)
+	own := keyAt(state.Millis(now.UnixMilli()), 1)
+	s.Begin(now, own, 1)
+	s.MarkUnknown(now, own)
+	imported := dedup.Record{Key: keyAt(own.Time-30_000, 2), Status: dedup.Unknown, KeptUntil: own.Time + 30_000}
+	is.True(s.Import(now, imported))
+	s.Begin(now.Add(40*time.Second), keyAt(own.Time+40_000, 3), 1)
+	is.Equal(s.Len(), 2) // the own record and the new one
+}
--- a/core/coord/dedup/store.go
+++ b/core/coord/dedup/store.go
@@ -109,7 +109,7 @@
 
 	// records holds the element of byRecency for each key.
 	records map[uuid.UUID]*list.Element
-	// byRecency holds values of type *Record, the least recently added or finished first.
+	// byRecency holds values of type *Record, the least recently added or finished first; imported ones by their expiry.
 	byRecency *list.List
 	// bytes is the estimated memory of all records. After MarkAnswered, MarkUnknown or Import it is at most maxBytes,
 	// unless only running requests are left.
@@ -193,7 +193,7 @@
 	if r.Status == Running {
 		r.Status = Unknown
 	}
-	s.insert(&r)
+	s.insertByExpiry(&r)
 	s.evictToLimit()
 	return true
 }
@@ -238,6 +238,20 @@
 	s.bytes += recordBytes(r)
 }
 
+// insertByExpiry inserts a record before those that expire later, so that expire finds it.
+func (s *Store) insertByExpiry(r *Record) {
+	at := s.byRecency.Back()
+	for at != nil && at.Value.(*Record).KeptUntil > r.KeptUntil {
+		at = at.Prev()
+	}
+	s.bytes += recordBytes(r)
+	if at == nil {
+		s.records[r.Key.ID] = s.byRecency.PushFront(r)
+		return
+	}
+	s.records[r.Key.ID] = s.byRecency.InsertAfter(r, at)
+}
+
 func (s *Store) remove(e *list.Element) {
 	r := e.Value.(*Record)
 	s.bytes -= recordBytes(r)
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -57,8 +57,8 @@
 
 	// httpServer is the HTTP/3 server of new connections; each round of GOAWAY replaces it.
 	httpServer atomic.Pointer[http3.Server]
-	// openRequests counts the requests of this agent's callers and the attempts of other agents at its target
-	// that are in progress.
+	// openRequests counts the requests in progress: those of this agent's callers, and those that other agents sent to this one
+	// as the owner of their keys or for its target.
 	openRequests atomic.Int64
 	stopping     atomic.Bool
 	phase        atomic.Int32
--- a/io/agent/gate.go
+++ b/io/agent/gate.go
@@ -54,7 +54,7 @@
 func (g *gate) resize(slots, queue int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.gate.Resize(slots, queue)
+	g.deliver(g.gate.Resize(time.Now(), slots, queue))
 }
 
 func (g *gate) load() picks.Load {
--- a/io/agent/peer_server.go
+++ b/io/agent/peer_server.go
@@ -29,6 +29,8 @@
 	if err != nil {
 		return replies.refuse(notRunResult(err))
 	}
+	a.openRequests.Add(1)
+	defer a.openRequests.Add(-1)
 	ctx, stop := context.WithCancel(stream.Context())
 	defer stop()
 	defer replies.close()
@@ -53,8 +55,6 @@
 
 // runAtTarget makes an attempt at this agent's own target on behalf of another agent.
 func (a *Agent) runAtTarget(ctx context.Context, r *request, to sink) result {
-	a.openRequests.Add(1)
-	defer a.openRequests.Add(-1)
 	ctx, cancel := r.context(ctx)
 	defer cancel()
 	return a.target.run(ctx, r, to)
--- a/test/proofs/planned_test.go
+++ b/test/proofs/planned_test.go
@@ -80,6 +80,26 @@
 	}
 }
 
+// Guards against a planned stop of an agent that has no callers of its own but runs bookings as the owner of their keys: it must
+// wait for their answers before it exits.
+func TestStoppingKeyOwnerAnswersItsBookings(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	startFleet(t, f, 2, 2, 15*time.Millisecond)
+	report := startCallers(t, f, atelier, 20*time.Second, "--callers", "24", "--feeds=false", "--work", "1500", "--period", "300ms")
+	time.Sleep(2 * time.Second)
+	owner, err := f.StartAgent(3, atelier, 15*time.Millisecond)
+	is.NoErr(err)
+	is.NoErr(fleet.WaitReady(owner))
+	time.Sleep(f.KeySettle + 4*time.Second) // it owns a third of the new keys
+	owner.Stop()
+	r := report()
+	is.True(r.Bookings > 100)
+	is.Equal(len(r.Unknown), 0)
+	is.Equal(r.Answered, r.Bookings)
+	checkBookings(t, f, r)
+}
+
 // Guards against a draining target that still gets new work after drainLimit. Several targets drain at once, the
 // platform fails right after it accepted the drains, and one balancer is suspended during them, so it resumes
 // with an outdated view.
