steer: flows stay in the balancer's data centre while it has free slots; outstanding requests are estimated between reports

The reported number approaches the mean within about a service time. Searches ask in the same order. Ruled out: own targets at any price (waits while others idle).

--- a/core/coord/steer/choose.go
+++ b/core/coord/steer/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -11,8 +12,8 @@
 )
 
 const (
-	// candidateCount is how many targets are compared for a new flow, in the order of their rank for it. A few suffice
-	// for an even load (Mitzenmacher, "The power of two choices in randomized load balancing", 2001), and a balancer
+	// candidateCount is how many targets of a group are compared for a new flow, in the order of their rank for it. A few
+	// suffice for an even load (Mitzenmacher, "The power of two choices in randomized load balancing", 2001), and a balancer
 	// that searches for a flow probes only these at first.
 	candidateCount = 8
 	// maxTriedTargets is how many targets are offered a new flow before it is queued or refused.
@@ -100,18 +101,55 @@
 	b.place(now, route, seg, p)
 }
 
-// chooseTarget returns the target with the lowest cost among the first candidateCount of a service, by rank for the
-// flow, and how many of these were compared. Only if none of them accepts the flow are the next ones compared.
-// Without any accepting target it returns nil and the number of the service's targets.
+// chooseTarget returns the target with the lowest cost among the first candidates of a service, and how many of these accept
+// the flow. The first group of candidates, in this balancer's data centre, suffices if one of them has a free slot; otherwise the
+// second group, of other data centres, is compared too, and further groups only if none of these accepts the flow. Without any
+// accepting target it returns nil and the number of the service's targets.
 func (b *Balancer) chooseTarget(now time.Time, service state.ServiceName, flow state.FlowID, excluded []*target, late bool) (*target, int) {
-	candidates := sortByRank(flow, slices.Clone(b.targetsByService[service]))
-	for first := 0; first < len(candidates); first += candidateCount {
-		best, considered := b.cheapest(now, candidates[first:min(first+candidateCount, len(candidates))], excluded, late)
-		if best != nil {
+	var best *target
+	considered := 0
+	groups := b.candidateGroups(flow, b.targetsByService[service])
+	for i, group := range groups {
+		t, accepting := b.cheapest(now, group, excluded, late)
+		considered += accepting
+		if t != nil && (best == nil || b.cost(now, t) < b.cost(now, best)) {
+			best = t
+		}
+		if best != nil && (i > 0 || b.hasFreeSlot(now, best)) {
 			return best, considered
 		}
 	}
-	return nil, len(candidates)
+	if best == nil {
+		return nil, len(b.targetsByService[service])
+	}
+	return best, considered
+}
+
+// candidateGroups returns targets in groups of up to candidateCount, in the order in which they are considered for a flow: by
+// turns groups of this balancer's data centre and of the others, each in the order of their rank for the flow.
+func (b *Balancer) candidateGroups(flow state.FlowID, targets []*target) [][]*target {
+	near := make([]*target, 0, len(targets))
+	far := make([]*target, 0, len(targets))
+	for _, t := range targets {
+		if t.dataCentre == b.settings.DataCentre {
+			near = append(near, t)
+		} else {
+			far = append(far, t)
+		}
+	}
+	sortByRank(flow, near)
+	sortByRank(flow, far)
+	var groups [][]*target
+	for len(near)+len(far) > 0 {
+		for _, list := range []*[]*target{&near, &far} {
+			n := min(candidateCount, len(*list))
+			if n > 0 {
+				groups = append(groups, (*list)[:n])
+				*list = (*list)[n:]
+			}
+		}
+	}
+	return groups
 }
 
 // cheapest returns the target with the lowest cost among those that accept the flow, or nil if none does, and how many do.
@@ -124,30 +162,43 @@
 			continue
 		}
 		considered++
-		if cost := b.cost(t); best == nil || cost < lowest {
+		if cost := b.cost(now, t); best == nil || cost < lowest {
 			best, lowest = t, cost
 		}
 	}
 	return best, considered
 }
 
-// sortByRank sorts targets by their rank for a flow, which is the same at every balancer, and returns them.
-func sortByRank(flow state.FlowID, targets []*target) []*target {
+// sortByRank sorts targets by their rank for a flow, which is the same at every balancer.
+func sortByRank(flow state.FlowID, targets []*target) {
 	key := flow.Hash()
 	slices.SortFunc(targets, func(x, y *target) int {
 		return cmp.Compare(rank.Score(key, y.hash), rank.Score(key, x.hash))
 	})
-	return targets
 }
 
 // cost is the expected delay that one more request has at a target: the requests there and on the way, times the
 // service time, divided by the slots (the join-the-shortest-expected-delay policy).
-func (b *Balancer) cost(t *target) time.Duration {
+func (b *Balancer) cost(now time.Time, t *target) time.Duration {
 	slots := float64(max(1, t.load.Slots))
-	work := max(float64(t.load.Outstanding), t.load.MeanOutstanding) + float64(t.unansweredOffers) + 1
+	work := b.expectedOutstanding(now, t) + 1
 	cost := time.Duration(work * float64(b.serviceTime(t)) / slots)
 	if t.dataCentre != b.settings.DataCentre {
 		cost += crossDataCentrePenalty
 	}
 	return cost
 }
+
+// expectedOutstanding estimates the outstanding requests at a target, with the offers on the way. The number that the agent
+// reported approaches its mean as the requests of then are answered and others arrive, within about a service time.
+func (b *Balancer) expectedOutstanding(now time.Time, t *target) float64 {
+	mean := t.load.MeanOutstanding
+	age := relay.AgeOf(now, t.loadAt)
+	remaining := math.Exp(-float64(age) / float64(b.serviceTime(t)))
+	return mean + (float64(t.load.Outstanding)-mean)*remaining + float64(t.unansweredOffers)
+}
+
+// hasFreeSlot reports whether one more request is expected to run at a target without waiting.
+func (b *Balancer) hasFreeSlot(now time.Time, t *target) bool {
+	return b.expectedOutstanding(now, t)+1 <= float64(t.load.Slots)
+}
--- a/core/coord/steer/cluster_test.go
+++ b/core/coord/steer/cluster_test.go
@@ -45,11 +45,12 @@
 
 // modelTarget is a target and its agent.
 type modelTarget struct {
-	c       *cluster
-	g       *gate.Gate
-	address netip.AddrPort
-	slots   int
-	speed   float64
+	c          *cluster
+	g          *gate.Gate
+	address    netip.AddrPort
+	slots      int
+	speed      float64
+	dataCentre state.DataCentre
 	// failing is true while the target resets each request.
 	failing bool
 	running int
@@ -101,7 +102,7 @@
 	c := &cluster{rng: rand.New(rand.NewPCG(seed, 1)), now: start}
 	for i := range n {
 		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(1 + i/250), byte(1 + i%250)}), 7700)
-		c.targets = append(c.targets, &modelTarget{c: c, address: address, slots: 2, speed: 1})
+		c.targets = append(c.targets, &modelTarget{c: c, address: address, slots: 2, speed: 1, dataCentre: "a"})
 	}
 	c.start()
 	c.every(steer.TickPeriod, func() {
@@ -136,7 +137,7 @@
 		t.start()
 		m := member(1, service, state.HealthAlive)
 		m.ID = state.NewInstanceID(state.InstanceName(t.address.String()), state.Millis(i))
-		m.Flow, m.Gossip = t.address, t.address
+		m.Flow, m.Gossip, m.DataCentre = t.address, t.address, t.dataCentre
 		members = append(members, m)
 	}
 	c.b.SetMembers(c.now, members)
@@ -481,3 +482,33 @@
 		is.True(least > 0.75/3)
 	}
 }
+
+// Flows stay in the balancer's data centre while it has free slots, and spill over to the others under a shift of clients.
+func TestFlowsSpillOverToOtherDataCentresWhenTheirOwnIsFull(t *testing.T) {
+	is := is.New(t)
+	const dataCentres = 6
+	c := newCluster(1, 60)
+	for i, target := range c.targets {
+		target.dataCentre = state.DataCentre("abcdef"[i%dataCentres])
+	}
+	c.start()
+	c.run(time.Second)
+	inOwn := func(clients []*modelClient) float64 {
+		count := 0
+		for _, client := range clients {
+			if client.target != nil && client.target.dataCentre == "a" {
+				count++
+			}
+		}
+		return float64(count) / float64(len(clients))
+	}
+	usual := c.arrive(133, 8*time.Second) // a fifth of the capacity of the data centre, while the others are idle
+	shifted := c.arrive(1300, 5*time.Second)
+	c.run(giveUpAfter)
+	t.Logf("usual load: %+v, %.2f in the own data centre; after the shift: %+v, %.2f",
+		countsOf(usual), inOwn(usual), countsOf(shifted), inOwn(shifted))
+	is.True(inOwn(usual) > 0.9)
+	for _, clients := range [][]*modelClient{usual, shifted} {
+		is.True(float64(countsOf(clients).inTime) > 0.95*float64(len(clients)))
+	}
+}
--- a/core/coord/steer/search.go
+++ b/core/coord/steer/search.go
@@ -193,11 +193,12 @@
 	t.queryFlows = nil
 }
 
-// remainingTargets returns the targets that may hold the flow and have not been asked, in the order of their rank for
-// the flow: it is most likely at the target where it would be placed today.
+// remainingTargets returns the targets that may hold the flow and have not been asked, in the order in which they are
+// considered for it: it is most likely at the target where it would be placed today.
 func (b *Balancer) remainingTargets(now time.Time, s *search) []*target {
 	var remaining []*target
-	for _, t := range sortByRank(s.segment.Flow, b.possibleHolders(s.segment.Flow.Virtual)) {
+	groups := b.candidateGroups(s.segment.Flow, b.possibleHolders(s.segment.Flow.Virtual))
+	for _, t := range slices.Concat(groups...) {
 		if !slices.Contains(s.notFound, t) && !slices.Contains(s.pending, t) && !t.presumedDead(now) && !slices.Contains(s.skipped, t) {
 			remaining = append(remaining, t)
 		}
--- a/core/coord/steer/target.go
+++ b/core/coord/steer/target.go
@@ -60,6 +60,8 @@
 	startedAt time.Time
 	phase     state.Phase
 	load      relay.Load
+	// loadAt is when load was received, with a report or a confirmation; zero if there was none since the agent started.
+	loadAt time.Time
 	// lastReportAt is when the last load report was received; zero if there was none since the agent started.
 	lastReportAt time.Time
 	// lastHeardAt is when the agent's last message of any kind was received; zero if there was none since it started.
@@ -196,6 +198,7 @@
 		t.id = m.ID
 		t.lastReportAt = time.Time{}
 		t.lastHeardAt = time.Time{}
+		t.loadAt = time.Time{}
 		t.load = relay.Load{Slots: m.Slots, ReportInterval: b.reportInterval()}
 		t.changedAt = now
 		t.startedAt = now
@@ -252,6 +255,7 @@
 func (b *Balancer) setLoad(now time.Time, t *target, load relay.Load) {
 	failingChanged := t.load.Failing != load.Failing
 	t.load = load
+	t.loadAt = now
 	if failingChanged {
 		b.updateEjections(now)
 	}
