--- a/core/coord/steer/messages.go
+++ b/core/coord/steer/messages.go
@@ -63,10 +63,7 @@
 	delete(b.queue, m.Flow)
 	p := b.flows[m.Flow]
 	if m.HasLoad && from == m.Holder {
-		if p != nil && p.target == t && !p.confirmed {
-			t.offerAnswered()
-		}
-		b.setLoad(now, t, m.Load)
+		b.handleConfirmation(now, t, p, m.Load)
 	}
 	switch {
 	case p != nil && p.confirmed && p.target != t && p.target.running():
@@ -85,6 +82,15 @@
 	}
 }
 
+// handleConfirmation applies the load with which a target's agent confirms that it holds a flow, whose placement is p; nil if the
+// flow has none here.
+func (b *Balancer) handleConfirmation(now time.Time, t *target, p *placement, load relay.Load) {
+	if p != nil && p.target == t && !p.confirmed {
+		t.offerAnswered()
+	}
+	b.setLoad(now, t, load)
+}
+
 // handleLookup replies to another balancer's lookup: with the flow's location if an agent has confirmed it, and otherwise
 // with a lookup miss.
 func (b *Balancer) handleLookup(from netip.AddrPort, m relay.Message) {
--- a/core/coord/steer/target.go
+++ b/core/coord/steer/target.go
@@ -145,92 +145,6 @@
 	return t.running() && notServing && now.Sub(t.startedAt) < startupWindow
 }
 
-// SetMembers applies the current membership.
-func (b *Balancer) SetMembers(now time.Time, members []state.Member) {
-	newest := make(map[netip.AddrPort]state.Member)
-	for _, m := range members {
-		if m.Role != state.RoleAgent || !m.Flow.IsValid() {
-			continue
-		}
-		if old, ok := newest[m.Flow]; !ok || supersedes(m, old) {
-			newest[m.Flow] = m
-		}
-	}
-	for _, m := range newest {
-		b.setMember(now, m)
-	}
-	for address, t := range b.targets {
-		if _, ok := newest[address]; !ok && t.running() {
-			t.health = state.HealthDead
-			t.changedAt = now
-		}
-	}
-	b.indexTargets()
-}
-
-// indexTargets rebuilds targetsByService.
-func (b *Balancer) indexTargets() {
-	clear(b.targetsByService)
-	for _, t := range b.targets {
-		b.targetsByService[t.service] = append(b.targetsByService[t.service], t)
-	}
-}
-
-// supersedes reports whether m rather than old is the current one of two processes at one address: a running process
-// comes before one that is not, then the one that started later by its own clock.
-func supersedes(m, old state.Member) bool {
-	if m.Present() != old.Present() {
-		return m.Present()
-	}
-	return m.ID.Started() > old.ID.Started()
-}
-
-// setMember applies the membership's state of one agent.
-func (b *Balancer) setMember(now time.Time, m state.Member) {
-	t := b.targets[m.Flow]
-	if t == nil && !m.Present() {
-		return
-	}
-	if t == nil || t.service != m.Service {
-		t = b.replaceTarget(now, t, m)
-	}
-	if t.id != m.ID {
-		t.id = m.ID
-		t.lastReportAt = time.Time{}
-		t.lastHeardAt = time.Time{}
-		t.loadAt = time.Time{}
-		t.load = relay.Load{Slots: m.Slots, ReportInterval: b.reportInterval()}
-		t.changedAt = now
-		t.startedAt = now
-		t.unansweredOffers = 0
-		t.avoidUntil = time.Time{}
-		t.fullUntil = time.Time{}
-		t.refusesLateUntil = time.Time{}
-		t.timedOut = false
-	}
-	if t.health != m.Health || t.phase != m.Phase {
-		t.changedAt = now
-	}
-	t.member = true
-	t.health = m.Health
-	t.phase = m.Phase
-	t.dataCentre = m.DataCentre
-}
-
-// replaceTarget adds an entry for an agent at a new address, or for one of another service at a known address; the
-// flows of the former agent there are then lost.
-func (b *Balancer) replaceTarget(now time.Time, former *target, m state.Member) *target {
-	if former != nil {
-		former.health = state.HealthDead
-		former.lastReportAt = time.Time{}
-		former.lastHeardAt = time.Time{}
-	}
-	t := &target{address: m.Flow, service: m.Service, hash: relay.NodeHash(m.Flow), changedAt: now}
-	b.targets[m.Flow] = t
-	b.lastNewAgentAt = now
-	return t
-}
-
 // handleLoad applies a load report.
 func (b *Balancer) handleLoad(now time.Time, from netip.AddrPort, m relay.Message) {
 	t := b.targets[from]
@@ -271,17 +185,6 @@
 	}
 }
 
-// AcceptingTargets returns how many targets can be given a new flow now.
-func (b *Balancer) AcceptingTargets(now time.Time) int {
-	count := 0
-	for _, t := range b.targets {
-		if t.accepting(now) {
-			count++
-		}
-	}
-	return count
-}
-
 // possibleHolders returns the targets that may hold a flow to an address; before the first configuration these are the
 // targets of all services. Targets that are down hold no flows.
 func (b *Balancer) possibleHolders(virtual state.Endpoint) []*target {
@@ -323,50 +226,6 @@
 	return !b.messagesDroppedAt.IsZero() && now.Sub(b.messagesDroppedAt) < window
 }
 
-// TargetStatus is the state of one target for operators.
-type TargetStatus struct {
-	Address   netip.AddrPort
-	Agent     state.InstanceID
-	Service   state.ServiceName
-	Health    state.Health
-	Accepting bool
-	Load      relay.Load
-	// ReportAge is the time since the last load report, zero if there was none; UnansweredOffers is how many new flows were
-	// offered to the target since then and neither confirmed nor refused.
-	ReportAge        time.Duration
-	UnansweredOffers int
-}
-
-// Summary is the state of a balancer for operators.
-type Summary struct {
-	ActiveVersion state.ConfigVersion
-	// Flows is the number of flows with a placement, Searches that of flows being searched for, Queued that of queued
-	// flows.
-	Flows    int
-	Searches int
-	Queued   int
-	Targets  []TargetStatus
-}
-
-// Summary returns the balancer's present state.
-func (b *Balancer) Summary(now time.Time) Summary {
-	return Summary{
-		ActiveVersion: b.config.Version, Flows: len(b.flows), Searches: len(b.searches), Queued: len(b.queue), Targets: b.statuses(now),
-	}
-}
-
-// statuses returns the state of all targets.
-func (b *Balancer) statuses(now time.Time) []TargetStatus {
-	statuses := make([]TargetStatus, 0, len(b.targets))
-	for _, t := range b.targets {
-		statuses = append(statuses, TargetStatus{
-			Address: t.address, Agent: t.id, Service: t.service, Health: t.health, Accepting: t.accepting(now),
-			Load: t.load, ReportAge: relay.AgeOf(now, t.lastReportAt), UnansweredOffers: t.unansweredOffers,
-		})
-	}
-	return statuses
-}
-
 // mostAgentsResponsive reports whether enough running agents are responsive to conclude that an unresponsive one is itself
 // at fault, and not this balancer. It is false if this balancer has dropped messages recently.
 func (b *Balancer) mostAgentsResponsive(now time.Time) bool {
