--- a/core/coord/steer/choose.go
+++ b/core/coord/steer/choose.go
@@ -92,7 +92,7 @@
 // did not answer within confirmTimeout.
 func (b *Balancer) handleRetransmission(now time.Time, route state.Route, seg state.Segment, p *placement) {
 	if p.confirmed || now.Sub(p.since) < confirmTimeout {
-		b.offer(p.target, seg, false)
+		b.offer(p.target, seg, b.isLate(now, route, seg, p.queuedAt))
 		return
 	}
 	p.target.avoidUntil = now.Add(noReplyBackoff)
--- a/core/coord/steer/choose_test.go
+++ b/core/coord/steer/choose_test.go
@@ -220,6 +220,22 @@
 	h.is.Equal(offered.Flow, flow(1))
 }
 
+// The first copy of an opening packet was lost behind this balancer, and its retransmission goes to the same target, which keeps
+// its queue for flows in time.
+func TestRetransmissionToTheSameTargetIsMarkedLate(t *testing.T) {
+	for _, age := range []time.Duration{200 * time.Millisecond, 600 * time.Millisecond} {
+		h := newHarnessWithOneTarget(t)
+		h.report(1, relay.Load{Accepting: true, Headroom: 4, Slots: 4, ReportInterval: time.Second})
+		h.b.HandlePacket(h.now, openingSegment(flow(1), 0))
+		again := openingSegment(flow(1), 1)
+		again.ConnectAge = age
+		h.b.HandlePacket(h.now, again)
+		offered, _ := h.last(relay.KindOpen)
+		h.is.Equal(offered.Late, age > 250*time.Millisecond)
+		h.is.Equal(h.count(relay.KindOpen), 2)
+	}
+}
+
 // newHarnessWithQueuedFlow returns a harness whose only target is full, with one flow queued.
 func newHarnessWithQueuedFlow(t *testing.T) *harness {
 	h := newHarness(t)
--- a/io/node/config.go
+++ b/io/node/config.go
@@ -41,7 +41,8 @@
 	// maxFirstRetryDelay is the maximum delay after a failed call while this balancer has no configuration. It is short because no new
 	// flow can be placed before the first configuration.
 	maxFirstRetryDelay = 400 * time.Millisecond
-	// firstPeerTimeout is how long a balancer that starts waits for an answer of another node before it reads the store.
+	// firstPeerTimeout is how long after its start a balancer waits for an answer of another node before it activates a configuration
+	// from the store.
 	firstPeerTimeout = 60 * time.Millisecond
 	// olderVersionDelay is how long a balancer without a configuration waits for the version that the fleet has announced before it
 	// activates an older one from the store.
@@ -91,6 +92,8 @@
 	// storeUnavailable is true if the last call to the store failed. While the store answers that it has no configuration, it does not
 	// change.
 	storeUnavailable atomic.Bool
+	// startedAt is when the balancer started.
+	startedAt time.Time
 	// era is the latest era of the store; zero before the first answer. Only the watcher uses it.
 	era state.StoreEra
 	// restores counts how often the store came back from an earlier copy.
@@ -109,6 +112,7 @@
 		log:           b.log.Part("config"),
 		client:        &http.Client{Timeout: fetchTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
 		fetchRequests: make(chan netip.AddrPort, 1),
+		startedAt:     time.Now(),
 		restores:      b.metrics.NewCounter("monsoonstep_store_restores_total"),
 	}
 }
@@ -161,7 +165,6 @@
 // watch reads the first configuration from the store and, while this balancer is a watcher, watches the store for newer ones. After an
 // error, or once this balancer is no longer a watcher, the position is reset, so the next call to the store is a read.
 func (s *configSyncer) watch(ctx context.Context) error {
-	s.waitForPeer(ctx)
 	delays := newRetryDelays()
 	position := state.StorePosition{}
 	for ctx.Err() == nil {
@@ -186,12 +189,12 @@
 	return nil
 }
 
-// waitForPeer waits until another node has answered, up to firstPeerTimeout. The answer says which version of the configuration the
-// fleet has, so that an older one in a store that was restored is not activated first.
+// waitForPeer waits until another node has answered, up to firstPeerTimeout after the start. The answer says which version of the
+// configuration the fleet has, so that an older one in a store that was restored is not activated first.
 func (s *configSyncer) waitForPeer(ctx context.Context) {
 	select {
 	case <-s.b.heardPeer:
-	case <-time.After(firstPeerTimeout):
+	case <-time.After(firstPeerTimeout - time.Since(s.startedAt)):
 	case <-ctx.Done():
 	}
 }
@@ -256,6 +259,7 @@
 	if len(raw) == 0 || s.latest.Load() != nil {
 		return s.apply(ctx, raw, "store")
 	}
+	s.waitForPeer(ctx)
 	c, err := s.source.Decode(raw)
 	if err != nil {
 		return s.apply(ctx, raw, "store")
