hops, wire: messages with unknown kinds, health, phase, role or unusable IDs, and text after an entry, are rejected

Noted faults of proto: DecodeRelay cut the kind to eight bits (261 counted as 5); DecodeGossip checked no member; strictUnmarshal accepted an entry followed by '}'.

--- a/core/proto/hops/gossip.go
+++ b/core/proto/hops/gossip.go
@@ -105,6 +105,9 @@
 	return b
 }
 
+// maxInstanceIDBytes limits the ID of a member: an instance's name and the time of its start.
+const maxInstanceIDBytes = 128
+
 // DecodeGossip decodes a datagram of TypeGossip. The message shares no memory with b. The error is of kind BadInput.
 func DecodeGossip(b []byte) (gossip.Message, error) {
 	var m gossip.Message
@@ -141,6 +144,9 @@
 	case gossipMember:
 		var member state.Member
 		err = forEachField(f.bytes, func(g field) error { return setMemberField(&member, g) })
+		if err == nil && (member.ID == "" || len(member.ID) > maxInstanceIDBytes) {
+			err = errs.New(errs.BadInput, "gossip message has a member whose ID has %d bytes; 1 to %d are allowed", len(member.ID), maxInstanceIDBytes)
+		}
 		m.Members = append(m.Members, member)
 	case gossipRecord:
 		var record state.Record
@@ -160,9 +166,9 @@
 	case memberIncarnation:
 		m.Incarnation = state.Incarnation(f.value)
 	case memberHealth:
-		m.Health = state.Health(f.value)
+		m.Health, err = state.Health(f.value), checkEnum("health", f.value, uint64(state.HealthLeft))
 	case memberRole:
-		m.Role = state.Role(f.value)
+		m.Role, err = state.Role(f.value), checkEnum("role", f.value, uint64(state.RoleAgent))
 	case memberService:
 		m.Service = state.ServiceName(f.bytes)
 	case memberDataCentre:
@@ -174,19 +180,27 @@
 		m.Flow = m.Gossip // A node uses one UDP address for messages of both types.
 	case memberPeer:
 		m.Peer, err = decodeAddress(f.bytes)
+	case memberPhase:
+		m.Phase, err = state.Phase(f.value), checkEnum("phase", f.value, uint64(state.PhaseEmpty))
 	default:
 		setMemberNumberField(m, f)
 	}
 	return err
 }
 
+// checkEnum returns an error of kind BadInput if the value of a member's field is above the highest that is known.
+func checkEnum(name string, value, highest uint64) error {
+	if value > highest {
+		return errs.New(errs.BadInput, "gossip message has a member with the unknown %s %d", name, value)
+	}
+	return nil
+}
+
 // setMemberNumberField sets the fields of a member that are plain numbers.
 func setMemberNumberField(m *state.Member, f field) {
 	switch f.number {
 	case memberSlots:
 		m.Slots = int(min(f.value, maxCount))
-	case memberPhase:
-		m.Phase = state.Phase(f.value)
 	case memberSince:
 		m.Since = state.Millis(f.value)
 	case memberAbsentFrom:
--- a/core/proto/hops/hops_test.go
+++ b/core/proto/hops/hops_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"monsoonstep/core/coord/gossip"
 	"monsoonstep/core/coord/relay"
+	"monsoonstep/core/errs"
 	"monsoonstep/core/proto/hops"
 	"monsoonstep/core/state"
 )
@@ -106,10 +108,34 @@
 	}
 	_, err := hops.DecodeRelay([]byte{byte(hops.TypeRelay), 8, 200, 1})
 	is.True(err != nil) // an unknown kind
+	_, err = hops.DecodeRelay([]byte{byte(hops.TypeRelay), 8, 0x85, 2})
+	is.True(err != nil) // kind 261, of which the low eight bits are a known kind
 	_, ok := hops.TypeOf([]byte{99})
 	is.True(!ok) // an unknown type
 }
 
+// A member with a health, phase or role of a later version, or with an ID that no instance has, must not enter the membership.
+func TestGossipWithInvalidMembersIsRejected(t *testing.T) {
+	is := is.New(t)
+	valid := state.Member{ID: "a/1", Health: state.HealthLeft, Announcement: state.Announcement{Role: state.RoleAgent, Phase: state.PhaseEmpty}}
+	decode := func(change func(*state.Member)) error {
+		m := valid
+		change(&m)
+		_, err := hops.DecodeGossip(hops.AppendGossip(nil, gossip.Message{Kind: gossip.KindUpdates, From: "b/1", Members: []state.Member{m}}))
+		return err
+	}
+	is.NoErr(decode(func(*state.Member) {}))
+	for _, change := range []func(*state.Member){
+		func(m *state.Member) { m.Health = state.HealthLeft + 1 },
+		func(m *state.Member) { m.Phase = state.PhaseEmpty + 1 },
+		func(m *state.Member) { m.Role = state.RoleAgent + 1 },
+		func(m *state.Member) { m.ID = "" },
+		func(m *state.Member) { m.ID = state.InstanceID(strings.Repeat("a", 500)) },
+	} {
+		is.Equal(errs.KindOf(decode(change)), errs.BadInput)
+	}
+}
+
 func FuzzDecodeHops(f *testing.F) {
 	f.Add(hops.AppendRelay(nil, relay.Message{Kind: relay.KindLoad, HasLoad: true, Load: relay.Load{Accepting: true, Outstanding: 3}}))
 	f.Add(hops.AppendGossip(nil, gossip.Message{Kind: gossip.KindPing, From: "a/1", Digest: &gossip.Digest{}}))
--- a/core/proto/wire/check.go
+++ b/core/proto/wire/check.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
 	"strings"
 
 	"monsoonstep/core/errs"
@@ -16,7 +18,7 @@
 	if err := decoder.Decode(into); err != nil {
 		return errs.Wrap(err, errs.BadInput, "JSON is malformed")
 	}
-	if decoder.More() {
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
 		return errs.New(errs.BadInput, "JSON value is followed by more text")
 	}
 	return nil
--- a/core/proto/wire/wire_test.go
+++ b/core/proto/wire/wire_test.go
@@ -37,7 +37,7 @@
 	for _, path := range []string{"service", "owner", "class", "address", "limits.slots", "limits.retryBudget"} {
 		is.True(strings.Contains(err.Error(), path+":")) // the error names each problem
 	}
-	for _, bad := range []string{`{`, `[]`, `{"serbice":"a"}`, goodEntry + "x", `{"service":7}`} {
+	for _, bad := range []string{`{`, `[]`, `{"serbice":"a"}`, goodEntry + "x", goodEntry + "}", goodEntry + "]", `{"service":7}`} {
 		_, err := wire.DecodeEntry([]byte(bad))
 		is.Equal(errs.KindOf(err), errs.BadInput)
 	}
