steer: an agent that leaves queries without a reply for a second is unresponsive, whatever its report interval

Cause: since a search waits for such an agent for five of the report intervals in force, 7.6 s at 91 balancers, where it was 1 s before. Change: three queries or probes, at least 150 ms apart, without any message of the agent for a second are evidence by themselves. An agent that was not asked is judged by its reports, as before. Test: TestSearchDoesNotWaitForAgentThatLeavesProbesWithoutReply failed first.

--- a/core/coord/steer/members.go
+++ b/core/coord/steer/members.go
@@ -60,7 +60,7 @@
 	if t.id != m.ID {
 		t.id = m.ID
 		t.lastReportAt = time.Time{}
-		t.lastHeardAt = time.Time{}
+		t.heard(time.Time{})
 		t.loadAt = time.Time{}
 		t.load = relay.Load{Slots: m.Slots, ReportInterval: b.reportInterval()}
 		t.changedAt = now
--- a/core/coord/steer/messages.go
+++ b/core/coord/steer/messages.go
@@ -13,7 +13,7 @@
 // one.
 func (b *Balancer) HandleMessage(now time.Time, from netip.AddrPort, m relay.Message, seg state.Segment) {
 	if t := b.targets[from]; t != nil {
-		t.lastHeardAt = now
+		t.heard(now)
 	}
 	switch m.Kind {
 	case relay.KindLoad:
--- a/core/coord/steer/search.go
+++ b/core/coord/steer/search.go
@@ -133,7 +133,13 @@
 		}
 		return
 	}
-	remaining = slices.DeleteFunc(remaining, func(t *target) bool { return b.enqueueQuery(s, t) })
+	remaining = slices.DeleteFunc(remaining, func(t *target) bool {
+		queried := b.enqueueQuery(s, t)
+		if queried {
+			t.asked(now)
+		}
+		return queried
+	})
 	b.probeAgents(now, s, remaining)
 }
 
@@ -167,6 +173,7 @@
 	}
 	s.batchSize *= batchGrowthFactor
 	for _, t := range remaining {
+		t.asked(now)
 		s.pending = append(s.pending, t)
 		s.probed = append(s.probed, t)
 		b.forward(relay.KindProbe, t, s.segment)
--- a/core/coord/steer/target.go
+++ b/core/coord/steer/target.go
@@ -26,6 +26,9 @@
 	// killed has restarted by then.
 	minUnresponsiveTimeout = time.Second
 	unresponsiveIntervals  = 5
+	// minUnansweredAsks is how many queries and probes an agent must have left without a reply for minUnresponsiveTimeout to count
+	// as unresponsive before its reports are overdue, since datagrams are occasionally lost.
+	minUnansweredAsks = 3
 	// minDroppedMessagesWindow is the least time for which a balancer that dropped messages from other nodes doesn't
 	// treat missing load reports as evidence. It is longer than any report timeout that leads to a reset.
 	minDroppedMessagesWindow = 2 * time.Second
@@ -66,6 +69,11 @@
 	lastReportAt time.Time
 	// lastHeardAt is when the agent's last message of any kind was received; zero if there was none since it started.
 	lastHeardAt time.Time
+	// askedAt is when the first of the queries and probes was sent to which the agent has not replied, lastAskedAt when the last one
+	// was, and unansweredAsks how many there were, those within batchTimeout counted once. Any message of the agent clears the count.
+	askedAt        time.Time
+	lastAskedAt    time.Time
+	unansweredAsks int
 	// unansweredOffers is how many new flows were offered to the target since that report and neither confirmed nor refused.
 	unansweredOffers int
 	// avoidUntil is until when the target gets no new flows because it did not answer an opening packet.
@@ -102,12 +110,33 @@
 	return time.Duration(n * float64(t.load.ReportInterval))
 }
 
-// unresponsive reports whether the agent has stopped sending messages without having announced that it stops: its
-// instance is paused, cut off or dead, which the membership detects later.
+// heard records that the agent has sent a message.
+func (t *target) heard(now time.Time) {
+	t.lastHeardAt = now
+	t.unansweredAsks = 0
+}
+
+// asked records that the agent was sent a query or a probe, to which it has to reply.
+func (t *target) asked(now time.Time) {
+	switch {
+	case t.unansweredAsks == 0:
+		t.askedAt = now
+	case now.Sub(t.lastAskedAt) < batchTimeout:
+		return
+	}
+	t.lastAskedAt = now
+	t.unansweredAsks++
+}
+
+// unresponsive reports whether the agent has stopped sending messages, or does not reply, without having announced that it
+// stops: its instance is paused, cut off or dead, which the membership detects later.
 func (t *target) unresponsive(now time.Time) bool {
 	if t.health == state.HealthLeft || t.load.Reason == relay.ReasonStopping {
 		return false
 	}
+	if t.unansweredAsks >= minUnansweredAsks && now.Sub(t.askedAt) > minUnresponsiveTimeout {
+		return true
+	}
 	since := t.lastHeardAt
 	if since.IsZero() {
 		since = t.startedAt
@@ -212,6 +241,8 @@
 		if !t.lastHeardAt.IsZero() {
 			t.lastHeardAt = t.lastHeardAt.Add(gap)
 		}
+		t.askedAt = t.askedAt.Add(gap)
+		t.lastAskedAt = t.lastAskedAt.Add(gap)
 	}
 }
 
--- a/core/coord/steer/unresponsive_test.go
+++ b/core/coord/steer/unresponsive_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"monsoonstep/core/coord/relay"
+	"monsoonstep/core/coord/steer"
 	"monsoonstep/core/state"
 )
 
@@ -205,6 +206,46 @@
 	h.is.Equal(len(h.resets), 1)
 }
 
+// An outage of all instances has ended, and an agent that was discovered has died again before its first report. At 91 balancers
+// its reports are overdue only after 7.6 s, and the membership needs some seconds too. It leaves probes without a reply, so flows
+// with idempotent requests that no other agent holds are reset after about a second.
+func TestSearchDoesNotWaitForAgentThatLeavesProbesWithoutReply(t *testing.T) {
+	h := newHarness(t)
+	h.b.Configure(configWith(func(r *state.Route) { r.Idempotent = true }))
+	h.members(1, 2, 3, 4, 5)
+	h.b.SetBalancers(balancers(91))
+	h.advance(time.Second, 2, 3, 4, 5)
+	for n := range uint16(12) {
+		h.b.HandlePacket(h.now, dataSegment(flow(n)))
+		for end := h.now.Add(200 * time.Millisecond); h.now.Before(end); {
+			h.replyNotFound(2, 3, 4, 5)
+			h.advance(steer.TickPeriod, 2, 3, 4, 5)
+		}
+	}
+	h.is.True(len(h.resets) > 0)
+	h.is.True(h.now.Sub(start) < 4*time.Second)
+}
+
+// replyNotFound lets agents reply to all lookups, queries and probes so far that their targets don't hold the flows.
+func (h *harness) replyNotFound(agents ...byte) {
+	sent := h.sent
+	h.sent = nil
+	for _, s := range sent {
+		if s.Kind == relay.KindLookup {
+			h.b.HandleMessage(h.now, s.to, relay.Message{Kind: relay.KindLookupMiss, Flow: s.Flow}, state.Segment{})
+		}
+		for _, n := range agents {
+			switch {
+			case s.to != agent(n):
+			case s.Kind == relay.KindQuery:
+				h.b.HandleMessage(h.now, s.to, relay.Message{Kind: relay.KindQueryReply, Flows: s.Flows}, state.Segment{})
+			case s.Kind == relay.KindProbe:
+				h.receiveNotFound(s.to, s.Flow, noPacket)
+			}
+		}
+	}
+}
+
 // balancers returns the addresses of n balancers, self and otherBalancer included.
 func balancers(n int) []netip.AddrPort {
 	list := []netip.AddrPort{self, otherBalancer}
