node: an era of the store that could not be announced is announced with the next answer

Read in the diff: noteEra stored the era before the event loop had accepted the announcement, so one that failed while the loop was busy was never repeated, and the list of balancers not written again. No test of its own; TestRestoredStore passes.

--- a/io/node/config.go
+++ b/io/node/config.go
@@ -243,13 +243,15 @@
 	if era <= s.era {
 		return nil
 	}
-	before := s.era
-	s.era = era
-	if before != 0 {
+	if err := s.b.runInLoop(ctx, func(time.Time) { s.b.fleet.announceStoreEra(era) }); err != nil {
+		return err
+	}
+	if s.era != 0 {
 		s.restores.Inc()
-		s.log.Warn("store was restored from an earlier copy; its content is read and written again", "era", era, "before", before)
+		s.log.Warn("store was restored from an earlier copy; its content is read and written again", "era", era, "before", s.era)
 	}
-	return s.b.runInLoop(ctx, func(time.Time) { s.b.fleet.announceStoreEra(era) })
+	s.era = era
+	return nil
 }
 
 // applyFromStore applies a configuration that was read from the store. A store that was restored may have an older version than the
