gate: a late heartbeat of a former target costs the flows of the present one nothing

Cause: an agent that restarts takes the first heartbeat that it gets. If that is a late one of a former target at its address, the next heartbeat, of the present target, counted as a new start: all flows that had passed since were removed, their clients reset, and the gate claimed to know all flows of its target, so that it answered 'not found' for flows that the target held. Ruled out: refusing the first heartbeat until a second one agrees (new flows wait for a heartbeat period after each restart), and a check of the address over TCP (it can't tell the two targets apart). Change: a heartbeat whose target ran before the recorded one was heard shows that the record was wrong; flows are kept, and unknown ones are probed. Both the uptime and the number of heartbeats must say so, since the uptime depends on the instance's clock. Measured: TestLateHeartbeatAfterRestartOfAgentCostsNoFlows fails before (0 flows of 1 left), passes now.

--- a/core/coord/gate/gate_test.go
+++ b/core/coord/gate/gate_test.go
@@ -255,6 +255,27 @@
 
 // The clock may be set back between two starts. A heartbeat under an unknown id with an earlier start time is from a new start
 // if the former one has become unresponsive.
+// Guards against an agent that restarts, takes a late heartbeat of a former target for that of the present one, and then resets the
+// flows of the present one, or says that it does not hold them.
+func TestLateHeartbeatAfterRestartOfAgentCostsNoFlows(t *testing.T) {
+	h := newHarness(t)
+	h.sequence = 39
+	h.sendHeartbeat("i-1", 1, false)
+	h.receive(relay.KindData, dataSegment(flow(1)))
+	h.advance(300*time.Millisecond, "", 0)
+	h.is.Equal(h.g.OpenFlows(), 1)
+	h.clear()
+	running := gate.Heartbeat{
+		ID: "i-2", StartedAt: 2, Uptime: 30 * time.Second, Sequence: 30, Service: service, Slots: 2,
+	}
+	h.is.Equal(h.g.Heartbeat(h.now, running), gate.HeartbeatAccepted)
+	h.is.Equal(len(h.resets), 0)
+	h.is.Equal(h.g.OpenFlows(), 1)
+	h.receive(relay.KindData, dataSegment(flow(2)))
+	h.is.Equal(len(h.sentOfKind(relay.KindNotFound)), 0)
+	h.is.Equal(h.delivered, []string{"data"})
+}
+
 func TestNewStartIsAcceptedAfterClockWentBack(t *testing.T) {
 	h := newHarness(t)
 	h.sendHeartbeat("t1", 10_000, false)
--- a/core/coord/gate/target.go
+++ b/core/coord/gate/target.go
@@ -52,6 +52,9 @@
 // time.
 const maxTargetLead = 200 * time.Millisecond
 
+// maxHeartbeatsPerPeriod is how many heartbeats a target may send in a heartbeat period: it repeats one that was not acknowledged.
+const maxHeartbeatsPerPeriod = 2
+
 // target is the gate's record of its target.
 type target struct {
 	// known is set once a heartbeat has been accepted.
@@ -115,9 +118,11 @@
 	return h.StartedAt < t.startedAt && !unresponsive
 }
 
-// replaceTarget records a new start of the target. The flows of the former start are lost and are reset.
+// replaceTarget records a new start of the target. The flows of the former start are lost and are reset, unless the recorded heartbeat
+// of the former start was a late one: the flows may then be those of the present target.
 func (g *Gate) replaceTarget(now time.Time, h Heartbeat) {
 	former := g.target
+	formerWasLate := former.known && g.ranBefore(now, h, former.lastHeartbeat)
 	pastIDs := former.pastIDs
 	if pastIDs == nil {
 		pastIDs = make(map[TargetID]bool)
@@ -125,7 +130,9 @@
 	if former.known {
 		pastIDs[former.id] = true
 		delete(pastIDs, h.ID)
-		g.resetAllFlows(now)
+		if !formerWasLate {
+			g.resetAllFlows(now)
+		}
 		g.endGrants(now, relay.ReasonTargetDown)
 	}
 	g.startWarmupWindow(now, h)
@@ -135,11 +142,19 @@
 		known:         true,
 		id:            h.ID,
 		startedAt:     h.StartedAt,
-		knowsAllFlows: former.known || h.Sequence <= firstSequence || g.startedWithAgent(now, h),
+		knowsAllFlows: former.known && !formerWasLate || h.Sequence <= firstSequence || g.startedWithAgent(now, h),
 		pastIDs:       pastIDs,
 	}
 }
 
+// ranBefore reports whether the target of a heartbeat was already running at a time, by its uptime and by the number of its heartbeats:
+// the uptime alone is too long if the clock was set forward.
+func (g *Gate) ranBefore(now time.Time, h Heartbeat, at time.Time) bool {
+	since := now.Sub(at)
+	periods := uint64(since/g.settings.HeartbeatPeriod) + 1
+	return h.Uptime > since+maxTargetLead && h.Sequence > firstSequence+periods*maxHeartbeatsPerPeriod
+}
+
 // startedWithAgent reports whether the target started with this agent or after it, so that no earlier process of the agent can
 // have brought it flows. If the clock was set back between the two starts the reported uptime is too short, so a target that has
 // finished its warm-up does not count as recently started.
