steer: caller aging is removed

Hypothesis: after an outage two thirds of the flows that look young are further attempts of requests that are late already, so treating a returning caller's flow by the age of its request leaves the scarce room to requests that can still be in time. Cause, from the logs: most of the attempts are not known to any balancer. Their clients' former packets were sent to instances without power and ended by the client's own timeout of 1.4 s; only refused flows are known, and their ages go to the wrong request where an address has several.

--- a/core/coord/relay/message.go
+++ b/core/coord/relay/message.go
@@ -47,9 +47,6 @@
 	KindGrant
 	// KindGrantReturn gives back a grant that the balancer has no queued flow for.
 	KindGrantReturn
-	// KindResets tells a balancer of the same data centre which flows the sender has reset, and how long their requests had waited: their
-	// clients open new flows, at any balancer.
-	KindResets
 	// KindCount is one more than the highest kind.
 	KindCount
 )
@@ -58,7 +55,7 @@
 func (k Kind) String() string {
 	names := [KindCount]string{
 		"none", "open", "data", "probe", "query", "queryReply", "refused", "notFound", "location", "lookup", "lookupMiss", "load",
-		"demand", "grant", "grantReturn", "resets",
+		"demand", "grant", "grantReturn",
 	}
 	if k >= KindCount {
 		return "unknown"
@@ -161,13 +158,6 @@
 	Priority int
 }
 
-// ResetFlow is a flow that was reset.
-type ResetFlow struct {
-	Flow state.FlowID
-	// Waited is how long its request is known to have waited.
-	Waited time.Duration
-}
-
 // MaxFlows is the maximum number of flows in one message, so that it fits into a datagram of 1,200 bytes.
 const MaxFlows = 80
 
@@ -203,8 +193,6 @@
 	Flows []state.FlowID
 	// Unresolved are the queried flows that the target may hold, in a KindQueryReply; at most MaxFlows.
 	Unresolved []state.FlowID
-	// Resets are the flows in a KindResets; at most MaxFlows.
-	Resets []ResetFlow
 	// Packet is the packet of the flow. It is valid only during the call to which the message is passed.
 	Packet []byte
 }
--- a/core/coord/steer/messages.go
+++ b/core/coord/steer/messages.go
@@ -30,8 +30,6 @@
 		b.handleNotFound(now, from, m, seg)
 	case relay.KindQueryReply:
 		b.handleQueryReply(now, from, m)
-	case relay.KindResets:
-		b.handleResets(now, m)
 	case relay.KindGrant:
 		b.handleGrant(now, from, m)
 	}
--- a/core/coord/steer/queue.go
+++ b/core/coord/steer/queue.go
@@ -51,9 +51,6 @@
 
 // refuseQueued refuses a flow that found the queue full, was queued for too long, or whose turn would come too late.
 func (b *Balancer) refuseQueued(now time.Time, f *queue.Flow, reason relay.Reason) {
-	if !f.Unanswered {
-		b.recordReset(now, f.Segment.Flow, max(minRequestAge, relay.AgeOf(now, f.Since)+f.Segment.ConnectAge))
-	}
 	b.refuse(f.Segment, f.Unanswered, relay.Decision{
 		Reason: reason, Age: relay.AgeOf(now, f.Since), Count: b.queue.Len(),
 	})
--- a/core/coord/steer/search.go
+++ b/core/coord/steer/search.go
@@ -189,7 +189,6 @@
 // FlushQueries sends the queries and the notices of resets that have accumulated. It must be called when no further event is
 // pending: after an outage a balancer searches for hundreds of flows at once, and one query has room for many.
 func (b *Balancer) FlushQueries() {
-	b.flushResets()
 	for _, t := range b.targetsToQuery {
 		b.sendQuery(t)
 	}
@@ -243,7 +242,6 @@
 		return
 	}
 	b.removeSearch(s.segment.Flow)
-	b.recordReset(now, s.segment.Flow, now.Sub(s.since))
 	b.reset(s.segment, relay.Decision{Age: now.Sub(s.since), Count: len(s.notFound)})
 }
 
--- a/core/coord/steer/steer.go
+++ b/core/coord/steer/steer.go
@@ -15,7 +15,6 @@
 	"slices"
 	"time"
 
-	"monsoonstep/core/coord/aging"
 	"monsoonstep/core/coord/queue"
 	"monsoonstep/core/coord/relay"
 	"monsoonstep/core/state"
@@ -38,8 +37,6 @@
 	DataCentre state.DataCentre
 	// FlowTTL is how long a flow's location is kept after it was learnt.
 	FlowTTL time.Duration
-	// CallerAging is true if the next flow of a caller whose flow was reset keeps the age of its request.
-	CallerAging bool
 	// Evacuation is true if new flows wait for the first orders to evacuate data centres; see SetEvacuations.
 	Evacuation bool
 	// SlotGrants makes the balancer ask agents for grants while it has queued flows.
@@ -90,8 +87,6 @@
 	unresponsiveAt time.Time
 	// messagesDroppedAt is when this balancer last dropped messages from other nodes.
 	messagesDroppedAt time.Time
-	// returns is used to recognise returning callers.
-	returns returns
 	// targetsToQuery are the targets for whose agents queries have accumulated since the last FlushQueries.
 	targetsToQuery []*target
 	// evacuations says to which data centres no new flow may be sent.
@@ -134,7 +129,6 @@
 		searches:         make(map[state.FlowID]*search),
 		demands:          make(map[state.ServiceName]*demand),
 		probeLimiter:     tokenBucket{tokens: probeBurstBytes, last: now},
-		returns:          returns{callers: aging.New()},
 		started:          now,
 		evacuations:      evacuations{pending: settings.Evacuation},
 	}
@@ -188,7 +182,6 @@
 // HandlePacket handles a packet of a client. Open flows are forwarded even before the first configuration, since that
 // decides only where new flows go.
 func (b *Balancer) HandlePacket(now time.Time, seg state.Segment) {
-	seg = b.withRequestAge(now, seg)
 	route, ok := b.config.Routes[seg.Flow.Virtual]
 	if !ok && b.config.Version != 0 {
 		b.resetUnrouted(seg)
@@ -315,7 +308,6 @@
 	}
 	b.nextSweep = now.Add(sweepInterval)
 	b.compactSearchOrder()
-	b.returns.callers.Expire(now)
 	for id, p := range b.flows {
 		if now.Sub(p.since) > b.settings.FlowTTL {
 			delete(b.flows, id)
--- a/core/proto/hops/hops_test.go
+++ b/core/proto/hops/hops_test.go
@@ -32,15 +32,6 @@
 	return flows
 }
 
-func drawResets(t *rapid.T) []relay.ResetFlow {
-	var resets []relay.ResetFlow
-	for _, f := range drawFlows(t, "resets") {
-		waited := time.Duration(rapid.IntRange(0, 60000).Draw(t, "waited")) * time.Millisecond
-		resets = append(resets, relay.ResetFlow{Flow: f, Waited: waited})
-	}
-	return resets
-}
-
 func drawMessage(t *rapid.T) relay.Message {
 	m := relay.Message{
 		Late: rapid.Bool().Draw(t, "late"),
@@ -61,7 +52,6 @@
 			Callers:  rapid.IntRange(0, 5000).Draw(t, "callers"),
 			Priority: rapid.IntRange(0, 9).Draw(t, "priority"),
 		},
-		Resets:     drawResets(t),
 		Flows:      drawFlows(t, "flows"),
 		Unresolved: drawFlows(t, "unresolved"),
 		Packet:     rapid.SliceOfN(rapid.Byte(), 1, 1300).Draw(t, "packet"),
--- a/core/proto/hops/relay.go
+++ b/core/proto/hops/relay.go
@@ -1,8 +1,6 @@
 package hops
 
 import (
-	"encoding/binary"
-	"math"
 	"time"
 
 	"google.golang.org/protobuf/encoding/protowire"
@@ -29,7 +27,6 @@
 	relayWarmupRateHundredths
 	relayGrant
 	relayDemand
-	relayResets
 )
 
 // The field numbers of a relay.Demand.
@@ -79,7 +76,6 @@
 	if m.Demand != (relay.Demand{}) {
 		b = appendBytes(b, relayDemand, appendDemand(nil, m.Demand))
 	}
-	b = appendResets(b, m.Resets)
 	if m.HasLoad {
 		b = appendBytes(b, relayLoad, appendLoad(nil, m.Load))
 	}
@@ -125,38 +121,6 @@
 	return appendBytes(b, number, packed)
 }
 
-// resetSize is the encoded size of a relay.ResetFlow in bytes: the flow, and the time waited in milliseconds.
-const resetSize = flowSize + 2
-
-// appendResets appends all flows that were reset, one after the other, as one field to b.
-func appendResets(b []byte, resets []relay.ResetFlow) []byte {
-	if len(resets) == 0 {
-		return b
-	}
-	packed := make([]byte, 0, len(resets)*resetSize)
-	for _, r := range resets {
-		waited := min(max(0, r.Waited.Milliseconds()), math.MaxUint16)
-		packed = binary.BigEndian.AppendUint16(appendFlow(packed, r.Flow), uint16(waited))
-	}
-	return appendBytes(b, relayResets, packed)
-}
-
-func decodeResets(b []byte) ([]relay.ResetFlow, error) {
-	if len(b)%resetSize != 0 || len(b) > relay.MaxFlows*resetSize {
-		return nil, errs.New(errs.BadInput, "list of reset flows has %d bytes: not a whole number of flows, or too many of them", len(b))
-	}
-	resets := make([]relay.ResetFlow, 0, len(b)/resetSize)
-	for ; len(b) > 0; b = b[resetSize:] {
-		f, err := decodeFlow(b[:flowSize])
-		if err != nil {
-			return nil, err
-		}
-		waited := binary.BigEndian.Uint16(b[flowSize:resetSize])
-		resets = append(resets, relay.ResetFlow{Flow: f, Waited: time.Duration(waited) * time.Millisecond})
-	}
-	return resets, nil
-}
-
 // DecodeRelay decodes a datagram of TypeRelay. The packet in the message shares memory with b. The error is of kind BadInput.
 func DecodeRelay(b []byte) (relay.Message, error) {
 	var m relay.Message
@@ -216,8 +180,6 @@
 		err = forEachField(f.bytes, func(l field) error { setLoadField(&m.Load, l); return nil })
 	case relayWarmupRateHundredths:
 		m.WarmupRate = float64(min(f.value, maxCount)) / hundredthsPerUnit
-	case relayResets:
-		m.Resets, err = decodeResets(f.bytes)
 	case relayGrant:
 		m.Grant = relay.GrantID(f.value)
 	case relayDemand:
--- a/io/conf/relay.go
+++ b/io/conf/relay.go
@@ -54,8 +54,6 @@
 	Warmup warmup.Settings
 	// SlotGrants makes agents grant freed slots to the balancers that have queued flows.
 	SlotGrants bool
-	// CallerAging makes balancers treat the next flow of a caller whose flow was reset as an attempt of the same request.
-	CallerAging bool
 	LogLevel    string
 }
 
@@ -126,7 +124,6 @@
 		Evacuation:      r.boolean("evacuation"),
 		Warmup:          r.warmup(),
 		SlotGrants:      r.boolean("slotGrants"),
-		CallerAging:     r.boolean("callerAging"),
 		LogLevel:        "info",
 	}
 	s.Listen = s.Internal
--- a/io/node/balancer.go
+++ b/io/node/balancer.go
@@ -54,7 +54,7 @@
 	b := &Balancer{node: n, clients: clients}
 	b.steer = steer.New(time.Now(), steer.Settings{
 		Self: s.Internal, DataCentre: s.DataCentre, FlowTTL: s.FlowTTL, Evacuation: s.Evacuation,
-		SlotGrants: s.SlotGrants, CallerAging: s.CallerAging,
+		SlotGrants: s.SlotGrants,
 	}, steer.Actions{Send: n.send, Reset: b.sendReset, OnDecision: n.decisionLog.record})
 	b.config = newConfigSyncer(b, source)
 	n.onRelay = b.steer.HandleMessage
@@ -128,7 +128,6 @@
 func (b *Balancer) members(now time.Time, members []state.Member) {
 	b.steer.SetMembers(now, members)
 	b.steer.SetBalancers(relay.Addresses(balancers(members)))
-	b.steer.SetNeighbours(neighbours(members, b.settings))
 	b.config.setBalancers(watchCandidates(members))
 	b.config.fetchIfOutdated()
 }
--- a/io/node/fleet.go
+++ b/io/node/fleet.go
@@ -243,18 +243,6 @@
 	return found
 }
 
-// neighbours returns the other balancers of this node's data centre that are present.
-func neighbours(members []state.Member, s Settings) []netip.AddrPort {
-	var found []netip.AddrPort
-	for _, m := range members {
-		isOther := m.Role == state.RoleBalancer && m.Present() && m.Gossip != s.Internal
-		if isOther && m.DataCentre == s.DataCentre && !slices.Contains(found, m.Gossip) {
-			found = append(found, m.Gossip)
-		}
-	}
-	return found
-}
-
 // balancers returns the balancers that are present, this node included if it is one, each address once. Two processes at one address
 // are a balancer that was restarted and its former process, which is not known to be down yet.
 func balancers(members []state.Member) []relay.Balancer {
--- a/io/node/settings.go
+++ b/io/node/settings.go
@@ -48,8 +48,6 @@
 	Evacuation bool
 	// SlotGrants makes agents grant freed slots to the balancers that have queued flows.
 	SlotGrants bool
-	// CallerAging makes balancers treat the next flow of a caller whose flow was reset as an attempt of the same request.
-	CallerAging bool
 }
 
 // BalancerSettings are the settings of a balancer.
