--- a/core/coord/gate/gate.go
+++ b/core/coord/gate/gate.go
@@ -10,7 +10,6 @@
 	"slices"
 	"time"
 
-	"monsoonstep/core/coord/grant"
 	"monsoonstep/core/coord/relay"
 	"monsoonstep/core/coord/warmup"
 	"monsoonstep/core/state"
@@ -46,8 +45,6 @@
 	FlowTTL time.Duration
 	// Warmup determines how many new flows the target gets during its warm-up.
 	Warmup warmup.Settings
-	// SlotGrants makes the gate grant its headroom to balancers that have demand.
-	SlotGrants bool
 }
 
 // Timeouts and limits of a gate.
@@ -131,12 +128,6 @@
 	stopping bool
 	// evacuated is true while the data centre of this agent is evacuated.
 	evacuated bool
-	// grants holds the demands of balancers and the grants of headroom; it stays empty unless Settings.SlotGrants is set.
-	grants *grant.Allocator
-	// allToldFull is true if the last load report to all balancers said that the target has no headroom.
-	allToldFull bool
-	// unaskedReturned is how many grants without a demand came back unused since one was used or the last load report.
-	unaskedReturned int
 }
 
 // phase is the stage of a flow's life cycle at the target.
@@ -196,7 +187,6 @@
 		mayMissFlowsUntil: now.Add(settings.FlowTTL),
 		lastTick:          now,
 		warmup:            warmup.New(now, settings.Warmup),
-		grants:            grant.New(now),
 	}
 }
 
@@ -215,9 +205,6 @@
 		}
 	}
 	g.balancers = processes
-	if g.settings.SlotGrants {
-		g.grants.SetBalancers(now, g.owners.All())
-	}
 	for id, f := range g.flows {
 		if f.phase != open {
 			continue
--- a/core/coord/gate/inbound.go
+++ b/core/coord/gate/inbound.go
@@ -18,12 +18,7 @@
 		g.handleData(now, from, m, seg)
 	case relay.KindQuery:
 		g.handleQuery(now, from, m)
-	case relay.KindDemand:
-		g.handleDemand(now, from, m)
-	case relay.KindGrantReturn:
-		g.handleGrantReturn(now, from, m.Grant)
 	}
-	g.allocateHeadroom(now)
 }
 
 // handleQuery replies to a query: with a location for each of its flows that is open at the target, and with one query reply for
@@ -49,7 +44,6 @@
 
 // handleOpen handles the opening packet of a flow: it offers the flow to the target or refuses it.
 func (g *Gate) handleOpen(now time.Time, from netip.AddrPort, m relay.Message, seg state.Segment) {
-	granted, hasGrant := g.useGrant(now, from, m.Grant)
 	if f, known := g.flows[seg.Flow]; known && f.phase != closed {
 		f.balancer = from
 		f.lastPacket = now
@@ -67,15 +61,10 @@
 	g.objective = m.LatencyObjective
 	g.warmup.SetRate(m.Config, m.WarmupRate)
 	// A late flow may use a free slot only: the target's queue is kept for flows that can still be answered in time.
-	// A grant does not lift the limit for the warm-up.
 	headroom := g.headroom(now)
-	isFull := headroom == 0 && !hasGrant || g.warmup.Allowed(now) == 0
-	if isFull || m.Late && !g.hasFreeSlot() && !granted.HasSlot {
+	if headroom == 0 || m.Late && !g.hasFreeSlot() {
 		g.reportedFull = g.reportedFull || headroom == 0
 		g.refusedLate = g.refusedLate || headroom > 0
-		if headroom == 0 {
-			g.reportFull(now, from)
-		}
 		g.refuse(now, from, m.Config, seg, g.fullReason(now))
 		return
 	}
@@ -96,14 +85,17 @@
 	}
 	perSlot := float64(maxOutstandingPerSlot)
 	if serviceTime := g.serviceTime.estimate(now); serviceTime > 0 && g.objective > 0 {
-		perSlot = g.outstandingPerSlot(now, serviceTime)
+		perSlot = min(perSlot, max(minOutstandingPerSlot, objectiveFraction*float64(g.objective)/float64(serviceTime)))
 	}
 	return max(0, int(perSlot*float64(g.target.slots))-g.outstanding)
 }
 
+// headroom returns how many more requests may be sent to the target, within the limit for its warm-up.
+func (g *Gate) headroom(now time.Time) int { return min(g.requestHeadroom(now), g.warmup.Allowed(now)) }
+
 // hasFreeSlot reports whether one more request would run without waiting for a slot.
 func (g *Gate) hasFreeSlot() bool {
-	return g.target.slots <= 0 || g.outstanding+g.grants.Outstanding() < g.target.slots
+	return g.target.slots <= 0 || g.outstanding < g.target.slots
 }
 
 // refuse returns an opening packet to its balancer. The version is that of the configuration under which the balancer offered the
@@ -218,20 +210,13 @@
 func (g *Gate) uncountRequest(now time.Time, f *flow) {
 	f.outstanding = false
 	g.outstanding--
-	g.allocateHeadroom(now)
 	g.reportHeadroom(now)
 }
 
 // reportHeadroom sends load reports if a target that was reported as full, or has refused a late flow, has headroom or a free slot
-// again. Headroom without a free slot is kept for the demand that there is.
+// again.
 func (g *Gate) reportHeadroom(now time.Time) {
-	if !g.hasFreeSlot() && g.grants.HasDemand(now) {
-		return
-	}
 	hasHeadroom := g.reportedFull && g.headroom(now) > 0 || g.refusedLate && g.hasFreeSlot()
-	if hasHeadroom && g.grantUnasked(now) {
-		return
-	}
 	if hasHeadroom && now.Sub(g.lastReport) >= g.headroomReportInterval() {
 		g.sendReports(now)
 	}
--- a/core/coord/gate/outbound.go
+++ b/core/coord/gate/outbound.go
@@ -23,7 +23,6 @@
 		g.trackOutbound(now, f, seg)
 	}
 	g.actions.Reply(seg.Flow.Client, seg.Packet)
-	g.allocateHeadroom(now)
 }
 
 // trackOutbound updates a flow's state from a packet that the target sent.
--- a/core/coord/gate/target.go
+++ b/core/coord/gate/target.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"monsoonstep/core/coord/grant"
 	"monsoonstep/core/coord/relay"
 	"monsoonstep/core/state"
 )
@@ -133,7 +132,6 @@
 		if !formerWasLate {
 			g.resetAllFlows(now)
 		}
-		g.endGrants(now, relay.ReasonTargetDown)
 	}
 	g.startWarmupWindow(now, h)
 	g.failures = failureDetector{}
@@ -313,8 +311,6 @@
 	OpenFlows    int
 	Outstanding  int
 	ServiceTime  time.Duration
-	// Grants is the status of slot grants.
-	Grants grant.Summary
 }
 
 // Summary returns the gate's status.
@@ -322,6 +318,6 @@
 	return Summary{
 		Target: g.target.id, Phase: g.Phase(), Refusal: g.refusalReason(), KnowsAllFlows: g.knowsAllFlows(now),
 		HeartbeatAge: relay.AgeOf(now, g.target.lastHeartbeat), OpenFlows: g.openFlows, Outstanding: g.outstanding,
-		ServiceTime: g.serviceTime.estimate(now), Grants: g.grants.Summary(now),
+		ServiceTime: g.serviceTime.estimate(now),
 	}
 }
--- a/core/coord/gate/tick.go
+++ b/core/coord/gate/tick.go
@@ -15,8 +15,6 @@
 	g.lastTick = now
 	g.expireFlows(now)
 	g.reportWarmupProgress(now)
-	g.grants.ExpireDemands(now)
-	g.allocateHeadroom(now)
 	if !now.Before(g.nextReport) {
 		g.sendReports(now)
 	}
@@ -62,12 +60,9 @@
 func (g *Gate) sendReports(now time.Time) {
 	g.nextReport = now.Add(g.reportInterval())
 	g.lastReport = now
-	g.lapseGrants(now)
 	m := g.loadReport(now)
 	g.reportedFull = m.Load.Headroom == 0
-	g.allToldFull = g.reportedFull
 	g.refusedLate = false
-	g.unaskedReturned = 0
 	for _, b := range g.owners.All() {
 		g.actions.Send(b, m)
 	}
@@ -92,7 +87,7 @@
 	return relay.Load{
 		Accepting:       reason == relay.ReasonNone,
 		Reason:          reason,
-		Outstanding:     g.outstanding + g.grants.Outstanding(),
+		Outstanding:     g.outstanding,
 		MeanOutstanding: g.meanOutstanding,
 		Headroom:        g.headroom(now),
 		Failing:         g.failures.ejected(now),
--- a/core/coord/queue/order.go
+++ b/core/coord/queue/order.go
@@ -8,8 +8,7 @@
 	"monsoonstep/core/state"
 )
 
-// Next returns the flow of a service that comes first in the order among those that fit, or nil if none does. It scans the
-// service's flows: the first of a caller's flows is the only one of them that may come first, so shares need no sort.
+// Next returns the flow of a service that comes first in the order among those that fit, or nil if none does.
 func (q *Queue) Next(now time.Time, service state.ServiceName, fits func(f *Flow, late bool) bool) *Flow {
 	l := q.lines[service]
 	if l == nil {
@@ -22,7 +21,7 @@
 		if !f.Routed || !fits(f, late) {
 			continue
 		}
-		if best == nil || compare(f, best, late, bestLate, f.placedShare(), best.placedShare()) < 0 {
+		if best == nil || compare(f, best, late, bestLate) < 0 {
 			best, bestLate = f, late
 		}
 	}
@@ -35,33 +34,17 @@
 	for _, l := range q.lines {
 		list = append(list, l.flows...)
 	}
-	if q.settings.Shares {
-		q.updateShares(now, list)
-	}
-	slices.SortFunc(list, func(x, y *Flow) int { return compare(x, y, x.late(now), y.late(now), x.share, y.share) })
+	slices.SortFunc(list, func(x, y *Flow) int { return compare(x, y, x.late(now), y.late(now)) })
 	return list
 }
 
-// updateShares counts for each flow those of its caller and service that were placed in the last second or come before it.
-func (*Queue) updateShares(now time.Time, list []*Flow) {
-	slices.SortFunc(list, func(x, y *Flow) int { return compare(x, y, x.late(now), y.late(now), 0, 0) })
-	for _, f := range list {
-		f.caller.ahead = f.caller.placed
-	}
-	for _, f := range list {
-		f.share = f.caller.ahead
-		f.caller.ahead++
-	}
-}
-
 // compare orders flows: those that can still be answered within their latency objective before those that can't, so that a
-// backlog does not make all later flows late too; then by priority, highest first; then by their callers' shares, lowest first;
-// then by age.
+// backlog does not make all later flows late too; then by priority, highest first; then by age.
 //
 // The oldest goes first, except among flows in time of a service that is overloaded: each of those would otherwise be
 // offered only when its objective has nearly passed, and most would be answered just too late (adaptive LIFO: Maurer,
 // "Fail at Scale", 2015).
-func compare(x, y *Flow, xLate, yLate bool, xShare, yShare int) int {
+func compare(x, y *Flow, xLate, yLate bool) int {
 	if xLate != yLate {
 		if yLate {
 			return -1
@@ -74,7 +57,6 @@
 	}
 	return cmp.Or(
 		cmp.Compare(x.Route.Priority, y.Route.Priority),
-		cmp.Compare(xShare, yShare),
 		byAge,
 		cmp.Compare(x.number, y.number),
 	)
--- a/core/coord/queue/queue.go
+++ b/core/coord/queue/queue.go
@@ -1,6 +1,4 @@
-// Package queue holds the new flows of a balancer that no target could be given at once. It decides their order, how long each
-// is expected to wait, which are refused because their clients would give up first, and the demand that agents are told. It
-// knows no targets.
+// Package queue holds the new flows of a balancer that no target could be given at once, and decides their order. It knows no targets.
 //
 // A queue is deterministic: its methods receive the current time.
 package queue
@@ -15,18 +13,6 @@
 // MaxFlows limits the number of queued flows.
 const MaxFlows = 1024
 
-// Settings configure a queue. No function may be nil.
-type Settings struct {
-	// Shares is true if callers get equal shares and flows are refused as soon as their turn can't come within their clients'
-	// patience. Otherwise the order is by lateness, priority and age, and no flow is refused by the queue.
-	Shares bool
-	// ServiceTime returns the mean service time of a service's targets; zero if it is not known.
-	ServiceTime func(state.ServiceName) time.Duration
-	// Capacity returns how many flows of a service this balancer can expect to place per second, while that has not been measured
-	// yet; zero if it is not known.
-	Capacity func(state.ServiceName) float64
-}
-
 // Flow is a new flow that could not be placed at once.
 type Flow struct {
 	// Segment is the opening packet.
@@ -47,50 +33,34 @@
 	index int
 	// number orders flows by when they were added.
 	number uint64
-	// caller is the flow's client address; nil without Settings.Shares.
-	caller *caller
 	// lateAfter is until when the flow can be answered within its latency objective, by the service time at the last Tick.
 	lateAfter time.Time
-	// countedInTime is true if the flow was in time when it was added and at the last Tick.
-	countedInTime bool
-	// share is the number of the caller's flows that were placed in the last second or come before this one, at the last sort.
-	share int
 }
 
 // line is the queue of one service.
 type line struct {
-	// service is empty for the flows without a route.
-	service state.ServiceName
-	flows   []*Flow
-	// overloaded is true if flows were late at the last Tick or, with Settings.Shares, within overloadHold before it.
+	flows []*Flow
+	// overloaded is true if flows were late at the last Tick.
 	overloaded bool
-	// inTime is the number of its flows with countedInTime set.
-	inTime int
-	rates  rates
 }
 
 // Queue holds the queued flows of a balancer. It is not safe for concurrent use.
 type Queue struct {
-	settings Settings
-	config   state.Config
-	flows    map[state.FlowID]*Flow
-	// lines holds each queued flow once, by service; a line may be empty.
+	// serviceTime returns the mean service time of a service's targets; zero if it is not known.
+	serviceTime func(state.ServiceName) time.Duration
+	config      state.Config
+	flows       map[state.FlowID]*Flow
+	// lines holds each queued flow once, by service, which is empty for the flows without a route; a line may be empty.
 	lines map[state.ServiceName]*line
 	added uint64
-	// callers holds the callers with queued flows or with placements in the last second.
-	callers map[[4]byte]*caller
-	// placements are those of about the last second, in the order of their times; arrivals likewise the flows added.
-	placements []*Placement
-	arrivals   []arrival
 }
 
-// New returns an empty queue.
-func New(settings Settings) *Queue {
+// New returns an empty queue. The function returns the mean service time of a service's targets; zero if it is not known.
+func New(serviceTime func(state.ServiceName) time.Duration) *Queue {
 	return &Queue{
-		settings: settings,
-		flows:    make(map[state.FlowID]*Flow),
-		lines:    make(map[state.ServiceName]*line),
-		callers:  make(map[[4]byte]*caller),
+		serviceTime: serviceTime,
+		flows:       make(map[state.FlowID]*Flow),
+		lines:       make(map[state.ServiceName]*line),
 	}
 }
 
@@ -98,33 +68,15 @@
 func (q *Queue) Configure(c state.Config) {
 	q.config = c
 	for _, f := range q.flows {
-		inTime := f.countedInTime
 		q.leave(f)
 		q.route(f)
 		q.join(f)
-		f.countInTime(inTime)
 	}
 }
 
 // Len returns the number of queued flows.
 func (q *Queue) Len() int { return len(q.flows) }
 
-// ServiceLen returns the number of queued flows of a service.
-func (q *Queue) ServiceLen(service state.ServiceName) int {
-	if l := q.lines[service]; l != nil {
-		return len(l.flows)
-	}
-	return 0
-}
-
-// InTime returns the number of queued flows of a service that were in time at the last Tick or were added since.
-func (q *Queue) InTime(service state.ServiceName) int {
-	if l := q.lines[service]; l != nil {
-		return l.inTime
-	}
-	return 0
-}
-
 // Contains reports whether a flow is queued.
 func (q *Queue) Contains(id state.FlowID) bool { return q.flows[id] != nil }
 
@@ -133,8 +85,7 @@
 
 // Add queues a flow with a copy of its packet. Since is set to now if it is zero. The flow must not be queued already.
 func (q *Queue) Add(now time.Time, f *Flow) {
-	first := f.Since.IsZero()
-	if first {
+	if f.Since.IsZero() {
 		f.Since = now
 	}
 	f.Segment.Packet = append([]byte(nil), f.Segment.Packet...)
@@ -143,16 +94,6 @@
 	q.flows[f.Segment.Flow] = f
 	q.route(f)
 	q.join(f)
-	f.countInTime(!f.late(now))
-	if q.settings.Shares {
-		q.addCaller(f)
-		if len(f.line.flows) == 1 {
-			f.line.rates.busySince = now
-		}
-		if first && !f.late(now) {
-			q.recordArrival(now, f)
-		}
-	}
 }
 
 // Remove removes a flow, if it is queued.
@@ -163,27 +104,47 @@
 	}
 	delete(q.flows, id)
 	q.leave(f)
-	if f.caller != nil {
-		f.caller.queued--
-		q.dropIdleCaller(f.caller)
-	}
 }
 
-// Tick updates what the order and the expected waits depend on: lateness, overload, and the rates and shares of the last second.
+// Tick updates what the order depends on: lateness and overload.
 func (q *Queue) Tick(now time.Time) {
-	q.expire(now)
 	for _, l := range q.lines {
-		late := false
+		l.overloaded = false
 		for _, f := range l.flows {
 			q.updateLateAfter(f)
-			f.countInTime(!f.late(now))
-			late = late || !f.countedInTime
+			l.overloaded = l.overloaded || f.late(now)
 		}
-		if late {
-			l.rates.overloadedAt = now
+	}
+}
+
+// Counts are how many flows are queued for a service.
+type Counts struct {
+	// InTime is the number of flows that can still be answered within their latency objectives, Late that of the others.
+	InTime int
+	Late   int
+	// Priority is the highest priority of the flows; 0 is the highest.
+	Priority int
+}
+
+// Counts returns what is queued for each service that has queued flows, those without a route aside.
+func (q *Queue) Counts(now time.Time) map[state.ServiceName]Counts {
+	counts := make(map[state.ServiceName]Counts)
+	for _, f := range q.flows {
+		if !f.Routed {
+			continue
+		}
+		c, known := counts[f.Service]
+		if !known || f.Route.Priority < c.Priority {
+			c.Priority = f.Route.Priority
 		}
-		l.overloaded = late || q.settings.Shares && !l.rates.overloadedAt.IsZero() && now.Sub(l.rates.overloadedAt) < overloadHold
+		if f.late(now) {
+			c.Late++
+		} else {
+			c.InTime++
+		}
+		counts[f.Service] = c
 	}
+	return counts
 }
 
 // route looks up the route of a flow.
@@ -197,7 +158,7 @@
 func (q *Queue) join(f *Flow) {
 	l := q.lines[f.Service]
 	if l == nil {
-		l = &line{service: f.Service}
+		l = new(line)
 		q.lines[f.Service] = l
 	}
 	f.line, f.index = l, len(l.flows)
@@ -206,7 +167,6 @@
 
 // leave removes a flow from its line.
 func (*Queue) leave(f *Flow) {
-	f.countInTime(false)
 	flows := f.line.flows
 	last := len(flows) - 1
 	flows[f.index] = flows[last]
@@ -215,22 +175,9 @@
 	f.line.flows = flows[:last]
 }
 
-// countInTime sets whether a flow of a line counts as in time.
-func (f *Flow) countInTime(inTime bool) {
-	if f.countedInTime == inTime {
-		return
-	}
-	f.countedInTime = inTime
-	if inTime {
-		f.line.inTime++
-	} else {
-		f.line.inTime--
-	}
-}
-
 // updateLateAfter determines until when a flow can be answered within its latency objective.
 func (q *Queue) updateLateAfter(f *Flow) {
-	f.lateAfter = f.startedAt().Add(f.Route.LatencyObjective - q.settings.ServiceTime(f.Service))
+	f.lateAfter = f.startedAt().Add(f.Route.LatencyObjective - q.serviceTime(f.Service))
 }
 
 // startedAt is when the client of a flow began to open it, as far as is known.
--- a/core/coord/relay/decision.go
+++ b/core/coord/relay/decision.go
@@ -53,14 +53,6 @@
 	EventTargetFailing
 	// EventSearchDropped: a balancer dropped its oldest search because there were too many.
 	EventSearchDropped
-	// EventGranted: an agent reserved a slot of its target for a balancer.
-	EventGranted
-	// EventGrantUsed: a flow was offered with a grant that was outstanding.
-	EventGrantUsed
-	// EventGrantReturned: a balancer returned a grant that it had no flow for.
-	EventGrantReturned
-	// EventGrantExpired: a grant was not used in time, or lapsed because the target accepts no new flows.
-	EventGrantExpired
 	// EventCount is the number of events.
 	EventCount
 )
@@ -71,7 +63,6 @@
 		"placed", "refused", "noRoute", "reset", "search", "found", "doubted", "accepted", "turnedAway", "notHeld",
 		"adopted", "ended", "targetReady", "targetDraining", "targetGone", "agentSilent", "agentHeard", "waits",
 		"targetFailing", "searchDropped",
-		"granted", "grantUsed", "grantReturned", "grantExpired",
 	}
 	if e >= EventCount {
 		return "unknown"
--- a/core/coord/relay/message.go
+++ b/core/coord/relay/message.go
@@ -40,13 +40,6 @@
 	KindLookupMiss
 	// KindLoad is an agent's load report to a balancer.
 	KindLoad
-	// KindDemand reports to an agent how many new flows a balancer has queued for the agent's service. A demand of zero withdraws
-	// the former one.
-	KindDemand
-	// KindGrant reserves a slot of the agent's target for one queued flow of the balancer, until the grant expires.
-	KindGrant
-	// KindGrantReturn gives back a grant that the balancer has no queued flow for.
-	KindGrantReturn
 	// KindCount is one more than the highest kind.
 	KindCount
 )
@@ -55,7 +48,6 @@
 func (k Kind) String() string {
 	names := [KindCount]string{
 		"none", "open", "data", "probe", "query", "queryReply", "refused", "notFound", "location", "lookup", "lookupMiss", "load",
-		"demand", "grant", "grantReturn",
 	}
 	if k >= KindCount {
 		return "unknown"
@@ -100,8 +92,6 @@
 	ReasonWarmingUp
 	// ReasonNoHome means that no target of the service is in a region to which the route restricts its flows.
 	ReasonNoHome
-	// ReasonTooLate means that a new flow would wait for longer than its client does.
-	ReasonTooLate
 	reasonCount
 )
 
@@ -109,7 +99,7 @@
 func (r Reason) String() string {
 	names := [reasonCount]string{
 		"none", "draining", "notReady", "gone", "full", "misdirected", "stopping",
-		"incomplete", "unsettled", "unanswered", "evacuated", "warmingUp", "noHome", "tooLate",
+		"incomplete", "unsettled", "unanswered", "evacuated", "warmingUp", "noHome",
 	}
 	return names[min(r, reasonCount-1)]
 }
@@ -143,21 +133,6 @@
 	ReportInterval time.Duration
 }
 
-// GrantID identifies a grant of one agent. Zero means none.
-type GrantID uint64
-
-// Demand is what a balancer has queued for one service.
-type Demand struct {
-	// InTime is the number of queued flows that can still be answered within their latency objectives.
-	InTime int
-	// Late is the number of the other queued flows.
-	Late int
-	// Callers is the number of different client addresses among the queued flows.
-	Callers int
-	// Priority is the highest priority of the queued flows that are in time, or of all if none is; 0 is the highest.
-	Priority int
-}
-
 // MaxFlows is the maximum number of flows in one message, so that it fits into a datagram of 1,200 bytes.
 const MaxFlows = 80
 
@@ -173,18 +148,12 @@
 	Holder netip.AddrPort
 	// LatencyObjective is the latency within which a request of the flow should be answered, in a KindOpen.
 	LatencyObjective time.Duration
-	// Late is true in a KindOpen whose client has already waited for longer than the latency objective, and in a KindGrant that may
-	// be used for such a flow since a slot is free.
+	// Late is true in a KindOpen whose client has already waited for longer than the latency objective.
 	Late   bool
 	Reason Reason
 	// WarmupRate is how many new flows a second a target of the service may be sent during its warm-up, in a KindOpen; zero if the
 	// configuration sets no limit.
 	WarmupRate float64
-	// Grant is the grant that a KindGrant gives, a KindGrantReturn returns, or with which the flow of a KindOpen was offered; zero in a
-	// KindOpen without a grant.
-	Grant GrantID
-	// Demand is set in a KindDemand.
-	Demand Demand
 	// HasLoad is true in a KindLoad, and in the KindLocation with which an agent confirms a new flow to the flow's balancer.
 	HasLoad bool
 	// Load is set if HasLoad is true.
--- a/core/coord/steer/choose.go
+++ b/core/coord/steer/choose.go
@@ -34,7 +34,7 @@
 	service := route.SelectService(seg.Flow)
 	late := b.isLate(now, route, seg, p.queuedAt)
 	t, considered := b.chooseTarget(now, route, service, seg.Flow, p.tried, late)
-	if t == nil || len(p.tried) >= maxTriedTargets || b.mustQueue(now, t, p) {
+	if t == nil || len(p.tried) >= maxTriedTargets {
 		b.enqueueOrRefuse(now, route, service, seg, p, considered)
 		return
 	}
@@ -47,15 +47,13 @@
 	p.since = now
 	p.confirmed = false
 	b.flows[seg.Flow] = p
-	p.counted = b.queue.Placed(now, seg.Flow)
-	if p.grant == 0 {
-		t.unansweredOffers++
-	}
+	b.queue.Remove(seg.Flow)
+	t.unansweredOffers++
 	b.actions.OnDecision(relay.Decision{
 		Event: relay.EventPlaced, Flow: seg.Flow, Peer: t.address, Config: b.config.Version,
 		Age: relay.AgeOf(now, t.lastReportAt), Count: considered,
 	})
-	b.offer(t, seg, b.isLate(now, b.config.Routes[seg.Flow.Virtual], seg, p.queuedAt), p.grant)
+	b.offer(t, seg, b.isLate(now, b.config.Routes[seg.Flow.Virtual], seg, p.queuedAt))
 }
 
 // enqueueOrRefuse queues a new flow that no target accepts now if a target may accept it shortly, and refuses it
@@ -104,7 +102,7 @@
 func (b *Balancer) handleRetransmission(now time.Time, route state.Route, seg state.Segment, p *placement) {
 	allowed := route.Allows(p.target.region) && !p.target.evacuated()
 	if p.confirmed || now.Sub(p.since) < confirmTimeout && allowed {
-		b.offer(p.target, seg, b.isLate(now, route, seg, p.queuedAt), 0)
+		b.offer(p.target, seg, b.isLate(now, route, seg, p.queuedAt))
 		return
 	}
 	if !p.target.evacuated() {
@@ -112,7 +110,6 @@
 	}
 	p.unanswered = true
 	p.tried = append(p.tried, p.target)
-	p.grant = 0
 	b.place(now, route, seg, p)
 }
 
--- a/core/coord/steer/cluster_test.go
+++ b/core/coord/steer/cluster_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/heap"
-	"math"
 	"math/rand/v2"
 	"net/netip"
 	"time"
@@ -32,25 +31,15 @@
 // connectTimes are the times at which a client sends the opening packet and its copies.
 var connectTimes = []time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond}
 
-// cluster is some balancers with the agents of a service and simple models of their targets and of clients, in simulated time.
+// cluster is a balancer with the agents of a service and simple models of their targets and of clients, in simulated time.
 type cluster struct {
-	model     model
-	rng       *rand.Rand
-	now       time.Time
-	events    eventQueue
-	balancers []*modelBalancer
-	targets   []*modelTarget
-	clients   []*modelClient
-	byFlow    map[state.FlowID]*modelClient
-	targetAt  map[netip.AddrPort]*modelTarget
-	// balancerAt holds the balancers by address.
-	balancerAt map[netip.AddrPort]*modelBalancer
-	counted    counted
-	members    []state.Member
-	// deliveries returns after which times a message of an agent to a balancer arrives; nil if each arrives after networkDelay.
-	deliveries func(to netip.AddrPort, m relay.Message) []time.Duration
-	// works is the number of requests that have started with several balancers.
-	works int
+	rng      *rand.Rand
+	now      time.Time
+	events   eventQueue
+	balancer *steer.Balancer
+	targets  []*modelTarget
+	clients  []*modelClient
+	targetAt map[netip.AddrPort]*modelTarget
 	// flowTTL is how long flows are kept.
 	flowTTL time.Duration
 	// longFraction is the fraction of the requests that take longFactor times as long as the others.
@@ -62,30 +51,6 @@
 	down bool
 }
 
-// model is what a cluster consists of. The zero value is one balancer without slot grants.
-type model struct {
-	balancers  int
-	slotGrants bool
-	// random is true if each client's request goes to a target chosen at random, without a balancer.
-	random bool
-}
-
-// counted are numbers of messages and decisions.
-type counted struct {
-	offers, refusedFull, accepted, opened, tooLate, grants, returns, demands int
-	// opened is how many accepted flows had clients that had not given up.
-	// pastPatience is how many flows were offered or refused after their clients had given up.
-	pastPatience int
-}
-
-// modelBalancer is a balancer, of which no process runs while b is nil.
-type modelBalancer struct {
-	address netip.AddrPort
-	b       *steer.Balancer
-	// mute is true while its messages are lost.
-	mute bool
-}
-
 // modelTarget is a target and its agent.
 type modelTarget struct {
 	c          *cluster
@@ -98,8 +63,6 @@
 	failing bool
 	running int
 	queue   []*modelClient
-	// longFlows are open flows that carry further requests.
-	longFlows []*modelClient
 	// received counts the requests that the target got.
 	received int
 	// work is the time that its requests take.
@@ -115,12 +78,7 @@
 type modelClient struct {
 	id       state.FlowID
 	number   int
-	balancer *modelBalancer
-	class    class
 	openedAt time.Time
-	refused  bool
-	// busy is true while a request of an open flow is not answered.
-	busy bool
 	// opened is the time to the opening of the flow, zero while it has not opened.
 	opened time.Duration
 	target *modelTarget
@@ -129,16 +87,6 @@
 	ended bool
 }
 
-// class is a kind of clients. The zero value is that of many callers with the most important route.
-type class struct {
-	lessImportant bool
-	// callers is how many callers the clients belong to, the first of them being firstCaller; zero if there are many.
-	callers, firstCaller int
-}
-
-// lessImportant is the virtual address of the route with the lower priority.
-var lessImportant = state.Endpoint{IP: [4]byte{198, 18, 0, 2}, Port: 443}
-
 // event is a function that runs at a simulated time; events at the same time run in the order of their number.
 type event struct {
 	at     time.Time
@@ -164,17 +112,9 @@
 	return last
 }
 
-// newCluster returns a cluster with one balancer and n targets of two slots and speed 1.
-func newCluster(seed uint64, n int) *cluster { return newClusterOf(model{balancers: 1}, seed, n) }
-
-// newClusterOf returns a cluster with n targets of two slots and speed 1.
-func newClusterOf(m model, seed uint64, n int) *cluster {
-	c := &cluster{model: m, rng: rand.New(rand.NewPCG(seed, 1)), now: start, flowTTL: flowTTL, byFlow: make(map[state.FlowID]*modelClient)}
-	c.targetAt, c.balancerAt = make(map[netip.AddrPort]*modelTarget), make(map[netip.AddrPort]*modelBalancer)
-	for i := range m.balancers {
-		c.balancers = append(c.balancers, &modelBalancer{address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(1 + i)}), 7700)})
-		c.balancerAt[c.balancers[i].address] = c.balancers[i]
-	}
+// newCluster returns a cluster with n targets of two slots and speed 1.
+func newCluster(seed uint64, n int) *cluster {
+	c := &cluster{rng: rand.New(rand.NewPCG(seed, 1)), now: start, flowTTL: flowTTL, targetAt: make(map[netip.AddrPort]*modelTarget)}
 	for i := range n {
 		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(1 + i/250), byte(1 + i%250)}), 7700)
 		c.targets = append(c.targets, &modelTarget{c: c, address: address, slots: 2, speed: 1, dataCentre: "a"})
@@ -182,11 +122,7 @@
 	}
 	c.start()
 	c.every(steer.TickPeriod, func() {
-		for _, b := range c.balancers {
-			if b.b != nil {
-				b.b.Tick(c.now)
-			}
-		}
+		c.balancer.Tick(c.now)
 		for _, t := range c.targets {
 			t.g.Tick(c.now)
 		}
@@ -200,7 +136,7 @@
 	return c
 }
 
-// start starts new processes of the balancers, the agents and the targets.
+// start starts new processes of the balancer, the agents and the targets.
 func (c *cluster) start() {
 	var members []state.Member
 	for i, t := range c.targets {
@@ -210,69 +146,20 @@
 		m.Flow, m.Gossip, m.DataCentre = t.address, t.address, t.dataCentre
 		members = append(members, m)
 	}
-	c.members = members
-	for _, b := range c.balancers {
-		b.start(c)
-	}
-}
-
-// start starts a new process of the balancer.
-func (b *modelBalancer) start(c *cluster) {
-	b.b = steer.New(c.now, steer.Settings{Self: b.address, DataCentre: "a", FlowTTL: c.flowTTL, SlotGrants: c.model.slotGrants}, steer.Actions{
-		Send:       func(to netip.AddrPort, m relay.Message) { c.sendFromBalancer(b, to, m) },
-		Reset:      func(id state.FlowID, _ uint32) { c.refused(id) },
-		OnDecision: c.decided,
+	c.balancer = steer.New(c.now, steer.Settings{Self: self, DataCentre: "a", FlowTTL: c.flowTTL}, steer.Actions{
+		Send:       c.sendFromBalancer,
+		Reset:      func(state.FlowID, uint32) {},
+		OnDecision: func(relay.Decision) {},
 	})
-	b.b.SetMembershipComplete(true)
+	c.balancer.SetMembershipComplete(true)
 	routes := configWith(func(r *state.Route) {
 		r.Idempotent = true
 		r.LatencyObjective = objective
-		if c.model.slotGrants {
-			r.Timeout = giveUpAfter
-		}
 	})
-	second := routes.Routes[virtual]
-	second.Virtual, second.Priority = lessImportant, 1
-	routes.Routes[lessImportant] = second
 	routes.Services = map[state.ServiceName]state.ServiceLimits{service: {WarmupRate: c.warmupRate}}
-	b.b.Configure(routes)
-	b.b.SetMembers(c.now, c.members)
-	b.b.SetBalancers(c.addresses())
-}
-
-// addresses returns the addresses of the balancers.
-func (c *cluster) addresses() []netip.AddrPort {
-	var list []netip.AddrPort
-	for _, b := range c.balancers {
-		list = append(list, b.address)
-	}
-	return list
-}
-
-// decided counts a decision of a balancer or agent.
-func (c *cluster) decided(d relay.Decision) {
-	switch d.Event {
-	case relay.EventAccepted:
-		c.counted.accepted++
-	case relay.EventRefused, relay.EventPlaced:
-		if d.Reason == relay.ReasonTooLate {
-			c.counted.tooLate++
-		}
-		if client := c.byFlow[d.Flow]; client != nil && c.now.Sub(client.openedAt) > giveUpAfter {
-			c.counted.pastPatience++
-		}
-	case relay.EventRefusedByAgent:
-		if d.Reason == relay.ReasonFull {
-			c.counted.refusedFull++
-		}
-	}
-}
-
-// refused ends a client whose flow a balancer reset.
-func (c *cluster) refused(id state.FlowID) {
-	if client := c.byFlow[id]; c.model.balancers > 1 && client != nil && client.target == nil {
-		client.refused, client.ended = true, true
-	}
+	c.balancer.Configure(routes)
+	c.balancer.SetMembers(c.now, members)
+	c.balancer.SetBalancers([]netip.AddrPort{self})
 }
 
 // stopFor stops all processes and all flows, and starts new processes after d.
@@ -314,9 +201,7 @@
 		e := heap.Pop(&c.events).(event)
 		c.now = e.at
 		e.run()
-		if c.model.balancers == 1 {
-			c.balancers[0].b.FlushQueries()
-		}
+		c.balancer.FlushQueries()
 	}
 	c.now = end
 }
@@ -324,72 +209,32 @@
 // arrive lets clients arrive for d, as a Poisson process with a number of arrivals per second, and runs their events.
 func (c *cluster) arrive(perSecond float64, d time.Duration) []*modelClient {
 	first := len(c.clients)
-	c.schedule(class{}, perSecond, d)
-	c.run(d)
-	return c.clients[first:]
-}
-
-// schedule lets clients of a class arrive during the next d.
-func (c *cluster) schedule(kind class, perSecond float64, d time.Duration) {
 	for at := time.Duration(0); ; {
 		at += time.Duration(c.rng.ExpFloat64() / perSecond * float64(time.Second))
 		if at >= d {
 			break
 		}
-		c.after(at, func() { c.newClient(kind) })
-	}
-}
-
-// scheduleOnLongFlows lets requests arrive during the next d on open flows without an unanswered request, at targets chosen at random.
-func (c *cluster) scheduleOnLongFlows(targets []*modelTarget, perSecond float64, d time.Duration) {
-	for at := time.Duration(0); at < d; at += time.Duration(c.rng.ExpFloat64() / perSecond * float64(time.Second)) {
-		c.after(at, func() {
-			for _, client := range targets[c.rng.IntN(len(targets))].longFlows {
-				if !client.busy {
-					client.busy = true
-					c.sendRequest(client)
-					return
-				}
-			}
-		})
+		c.after(at, c.newClient)
 	}
+	c.run(d)
+	return c.clients[first:]
 }
 
 // newClient starts a client.
-func (c *cluster) newClient(kind class) {
+func (c *cluster) newClient() {
 	n := len(c.clients)
-	client := &modelClient{number: n, class: kind, openedAt: c.now, id: state.FlowID{
-		Client:  state.Endpoint{IP: [4]byte{100, 64, byte(n >> 16), byte(n >> 8)}, Port: uint16(n)},
+	client := &modelClient{number: n, openedAt: c.now, id: state.FlowID{
+		Client:  state.Endpoint{IP: [4]byte{100, 64, byte(n >> 16), byte(n >> 8)}, Port: uint16(n & 255)},
 		Virtual: virtual,
 	}}
-	client.id.Client.Port &= 255
-	if kind.callers > 0 {
-		client.id.Client = state.Endpoint{IP: [4]byte{100, 65, 0, byte(kind.firstCaller + n%kind.callers)}, Port: uint16(n)}
-	}
-	if kind.lessImportant {
-		client.id.Virtual = lessImportant
-	}
 	c.clients = append(c.clients, client)
-	c.byFlow[client.id] = client
 	c.after(giveUpAfter, func() { client.ended = true })
-	if c.model.random {
-		target := c.targets[c.rng.IntN(len(c.targets))]
-		client.target = target
-		c.after(4*networkDelay, func() { target.receive(client.packet(requestPacket)) })
-		return
-	}
-	client.balancer = c.balancers[0]
-	if c.model.balancers > 1 {
-		for client.balancer = nil; client.balancer == nil || client.balancer.b == nil; {
-			client.balancer = c.balancers[c.rng.IntN(c.model.balancers)]
-		}
-	}
 	for copyNumber, at := range connectTimes {
 		c.after(at, func() {
-			if c.down || client.target != nil || client.ended || client.balancer.b == nil {
+			if c.down || client.target != nil || client.ended {
 				return
 			}
-			client.balancer.b.HandlePacket(c.now, state.Segment{
+			c.balancer.HandlePacket(c.now, state.Segment{
 				Flow: client.id, Opens: true, Acknowledged: uint32(copyNumber), ConnectAge: at, Packet: client.packet(byte(copyNumber)),
 			})
 		})
@@ -409,37 +254,17 @@
 	return c.clients[int(packet[1])<<16|int(packet[2])<<8|int(packet[3])]
 }
 
-// sendFromBalancer delivers a message of a balancer to an agent or another balancer.
-func (c *cluster) sendFromBalancer(from *modelBalancer, to netip.AddrPort, m relay.Message) {
+// sendFromBalancer delivers a message of the balancer to an agent.
+func (c *cluster) sendFromBalancer(to netip.AddrPort, m relay.Message) {
 	m.Packet = append([]byte(nil), m.Packet...)
-	switch m.Kind {
-	case relay.KindOpen:
-		c.counted.offers++
-	case relay.KindDemand:
-		c.counted.demands++
-	case relay.KindGrantReturn:
-		c.counted.returns++
-	}
-	sender := from.b
+	sender := c.balancer
 	c.after(networkDelay, func() {
-		if c.down || from.mute || from.b != sender {
-			return
-		}
-		if t := c.targetAt[to]; t != nil {
-			t.g.HandleMessage(c.now, from.address, m, segmentIn(m))
-			return
+		if t := c.targetAt[to]; t != nil && !c.down && c.balancer == sender {
+			t.g.HandleMessage(c.now, self, m, segmentIn(m))
 		}
-		c.deliverToBalancer(from.address, to, m)
 	})
 }
 
-// deliverToBalancer delivers a message to a balancer.
-func (c *cluster) deliverToBalancer(from, to netip.AddrPort, m relay.Message) {
-	if b := c.balancerAt[to]; b.b != nil {
-		b.b.HandleMessage(c.now, from, m, segmentIn(m))
-	}
-}
-
 // segmentIn returns the segment of the packet in a message, if it carries one.
 func segmentIn(m relay.Message) state.Segment {
 	if len(m.Packet) == 0 {
@@ -463,21 +288,16 @@
 	t.running, t.queue = 0, nil
 	t.g = gate.New(t.c.now, gate.Settings{
 		Self: t.address, Service: service, HeartbeatPeriod: time.Second, FlowTTL: t.c.flowTTL, Warmup: t.c.warmup,
-		SlotGrants: t.c.model.slotGrants,
 	}, gate.Actions{
 		Send:        t.sendToBalancer,
 		Deliver:     t.receive,
 		Reply:       func(state.Endpoint, []byte) {},
 		Reset:       func(state.FlowID, uint32) {},
 		CheckTarget: func() {},
-		OnDecision:  t.c.decided,
+		OnDecision:  func(relay.Decision) {},
 		OnAnswer:    func(time.Duration) {},
 	})
-	var list []relay.Balancer
-	for _, address := range t.c.addresses() {
-		list = append(list, relay.Balancer{Address: address, Process: "b"})
-	}
-	t.g.SetBalancers(t.c.now, list)
+	t.g.SetBalancers(t.c.now, []relay.Balancer{{Address: self, Process: "b"}})
 	t.sequence = 0
 	t.beat()
 }
@@ -506,7 +326,6 @@
 		if client.target == nil && !client.ended {
 			client.target = t
 			client.opened = t.c.now.Sub(client.openedAt)
-			t.c.counted.opened++
 			t.c.after(2*networkDelay, func() { t.c.sendRequest(client) })
 		}
 	})
@@ -514,31 +333,20 @@
 
 // sendRequest sends the request of a client whose flow is open.
 func (c *cluster) sendRequest(client *modelClient) {
-	if c.down || client.target == nil || client.balancer.b == nil {
+	if c.down || client.target == nil {
 		return
 	}
-	client.balancer.b.HandlePacket(c.now, state.Segment{
+	c.balancer.HandlePacket(c.now, state.Segment{
 		Flow: client.id, Acknowledges: true, Acknowledged: 1, DataLen: 1, Packet: client.packet(requestPacket),
 	})
 }
 
-// nextWork returns the work of the next request, distributed exponentially with mean 1. With several balancers it is taken from a
-// sequence whose mean varies little, so that policies can be compared by how many requests they serve in a short time.
-func (c *cluster) nextWork() float64 {
-	if c.model.balancers == 1 {
-		return c.rng.ExpFloat64()
-	}
-	c.works++
-	_, fraction := math.Modf(float64(c.works) * math.Phi)
-	return -math.Log(1 - fraction)
-}
-
 // runNext runs queued requests while slots are free.
 func (t *modelTarget) runNext() {
 	for t.running < t.slots && len(t.queue) > 0 {
 		client := t.queue[0]
 		t.queue = t.queue[1:]
-		work := t.c.nextWork() * float64(meanWork) / t.speed
+		work := t.c.rng.ExpFloat64() * float64(meanWork) / t.speed
 		if t.c.longFraction > 0 && t.c.rng.Float64() < t.c.longFraction {
 			work *= longFactor
 		}
@@ -571,26 +379,16 @@
 	if !t.failing && client.target == t && !client.ended {
 		client.took = t.c.now.Sub(client.openedAt) + 2*networkDelay
 	}
-	client.ended, client.busy = true, false
+	client.ended = true
 }
 
-// sendToBalancer delivers a message of the agent to a balancer, unless all processes have been started again meanwhile. The location
-// of a flow shows that the target has accepted it: its client then sends the request.
-func (t *modelTarget) sendToBalancer(to netip.AddrPort, m relay.Message) {
+// sendToBalancer delivers a message of the agent to the balancer, unless all processes have been started again meanwhile.
+func (t *modelTarget) sendToBalancer(_ netip.AddrPort, m relay.Message) {
 	m.Packet = append([]byte(nil), m.Packet...)
-	if m.Kind == relay.KindGrant {
-		t.c.counted.grants++
-	}
-	delays := []time.Duration{networkDelay}
-	if t.c.deliveries != nil {
-		delays = t.c.deliveries(to, m)
-	}
 	sender := t.g
-	for _, delay := range delays {
-		t.c.after(delay, func() {
-			if !t.c.down && t.g == sender {
-				t.c.deliverToBalancer(t.address, to, m)
-			}
-		})
-	}
+	t.c.after(networkDelay, func() {
+		if !t.c.down && t.g == sender {
+			t.c.balancer.HandleMessage(t.c.now, t.address, m, segmentIn(m))
+		}
+	})
 }
--- a/core/coord/steer/messages.go
+++ b/core/coord/steer/messages.go
@@ -30,8 +30,6 @@
 		b.handleNotFound(now, from, m, seg)
 	case relay.KindQueryReply:
 		b.handleQueryReply(now, from, m)
-	case relay.KindGrant:
-		b.handleGrant(now, from, m)
 	}
 }
 
@@ -87,7 +85,7 @@
 // handleConfirmation applies the load with which a target's agent confirms that it holds a flow, whose placement is p; nil if the
 // flow has none here.
 func (b *Balancer) handleConfirmation(now time.Time, t *target, p *placement, load relay.Load) {
-	if p != nil && p.target == t && !p.confirmed && p.grant == 0 {
+	if p != nil && p.target == t && !p.confirmed {
 		t.offerAnswered()
 	}
 	b.setLoad(now, t, load)
@@ -125,11 +123,7 @@
 	if p == nil || p.confirmed || p.target.address != from || !seg.Opens {
 		return
 	}
-	if p.grant == 0 {
-		p.target.offerAnswered()
-	}
-	p.grant = 0
-	b.queue.Withdraw(p.counted)
+	p.target.offerAnswered()
 	route, ok := b.config.Routes[seg.Flow.Virtual]
 	switch {
 	case m.Reason != relay.ReasonFull && m.Reason != relay.ReasonWarmingUp:
--- a/core/coord/steer/queue.go
+++ b/core/coord/steer/queue.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// maxQueueTime is how long a new flow is queued for a configuration or a target without Settings.SlotGrants; clients
-	// abandon an opening packet a little later.
+	// maxQueueTime is how long a new flow is queued for a configuration or a target; clients abandon an opening packet a little
+	// later.
 	maxQueueTime = time.Second
 	// startupWindow is how long after the start of a balancer or an agent targets are expected to appear: agents may
 	// have started together with the balancer, and receive the first heartbeat of their targets within a heartbeat
@@ -18,15 +18,6 @@
 	startupWindow = 4 * time.Second
 )
 
-// newQueue returns an empty queue.
-func (b *Balancer) newQueue() *queue.Queue {
-	return queue.New(queue.Settings{
-		Shares:      b.settings.SlotGrants,
-		ServiceTime: func(service state.ServiceName) time.Duration { return b.serviceTimes[service] },
-		Capacity:    b.expectedRate,
-	})
-}
-
 // enqueue queues a new flow, or refuses it if the queue is full. A flow that was queued before, and then offered
 // without success, keeps the time at which it was first queued.
 func (b *Balancer) enqueue(now time.Time, seg state.Segment, p *placement, reason relay.Reason) {
@@ -44,12 +35,9 @@
 		})
 	}
 	b.queue.Add(now, f)
-	if b.settings.SlotGrants {
-		b.demandRose(now, f)
-	}
 }
 
-// refuseQueued refuses a flow that found the queue full, was queued for too long, or whose turn would come too late.
+// refuseQueued refuses a flow that found the queue full, was queued for too long, or can't be served any more.
 func (b *Balancer) refuseQueued(now time.Time, f *queue.Flow, reason relay.Reason) {
 	b.refuse(f.Segment, f.Unanswered, relay.Decision{
 		Reason: reason, Age: relay.AgeOf(now, f.Since), Count: b.queue.Len(),
@@ -94,9 +82,8 @@
 	if b.queue.Len() == 0 {
 		return
 	}
-	headroom, reserved := b.headroomByService(now)
-	sorted := b.queue.Sorted(now)
-	for _, f := range sorted {
+	headroom := b.headroomByService(now)
+	for _, f := range b.queue.Sorted(now) {
 		if b.config.Version != 0 && !f.Routed {
 			b.resetUnrouted(f.Segment)
 			continue
@@ -104,23 +91,20 @@
 		if b.refuseEvacuated(now, f) || b.refuseWithoutHome(now, f) {
 			continue
 		}
-		if f.Routed && headroom[f.Service] > 0 && b.placeAtBestTarget(now, f, reserved) {
+		if f.Routed && headroom[f.Service] > 0 && b.placeAtBestTarget(now, f) {
 			headroom[f.Service]--
 			continue
 		}
-		if !b.settings.SlotGrants && now.Sub(f.Since) >= maxQueueTime {
+		if now.Sub(f.Since) >= maxQueueTime {
 			b.queue.Remove(f.Segment.Flow)
 			b.refuseQueued(now, f, f.Reason)
 		}
 	}
-	if b.settings.SlotGrants {
-		b.refuseHopeless(now, sorted)
-	}
 }
 
-// placeAtBestTarget offers a queued flow to the best target that is not excluded, and reports whether there is one.
-func (b *Balancer) placeAtBestTarget(now time.Time, f *queue.Flow, excluded []*target) bool {
-	t, considered := b.chooseTarget(now, f.Route, f.Service, f.Segment.Flow, excluded, b.lateQueued(now, f))
+// placeAtBestTarget offers a queued flow to the best target, and reports whether there is one.
+func (b *Balancer) placeAtBestTarget(now time.Time, f *queue.Flow) bool {
+	t, considered := b.chooseTarget(now, f.Route, f.Service, f.Segment.Flow, nil, b.lateQueued(now, f))
 	if t == nil {
 		return false
 	}
@@ -132,7 +116,7 @@
 // reports are frequent and each has headroom for few flows, so choosing the best target for every flow would take too
 // long.
 func (b *Balancer) placeQueuedAt(now time.Time, t *target) {
-	for b.queue.Len() > 0 && t.accepting(now) && !b.needsGrant(now, t) {
+	for b.queue.Len() > 0 && t.accepting(now) {
 		f := b.nextQueuedFor(now, t)
 		if f == nil {
 			return
@@ -145,34 +129,25 @@
 // target refuses these; nil if there is none.
 func (b *Balancer) nextQueuedFor(now time.Time, t *target) *queue.Flow {
 	refusesLate := now.Before(t.refusesLateUntil)
-	return b.nextQueued(now, t, !refusesLate)
-}
-
-// nextQueued returns the queued flow that comes first among those for a target's service, with or without the late ones; nil if
-// there is none.
-func (b *Balancer) nextQueued(now time.Time, t *target, withLate bool) *queue.Flow {
 	return b.queue.Next(now, t.service, func(f *queue.Flow, late bool) bool {
-		return f.Route.Allows(t.region) && (withLate || !late)
+		return f.Route.Allows(t.region) && !(late && refusesLate)
 	})
 }
 
-// headroomByService returns how many queued flows the targets of each service can be given, and the targets that need a grant for
-// one. A target without a load report counts with its slots.
-func (b *Balancer) headroomByService(now time.Time) (map[state.ServiceName]int, []*target) {
+// headroomByService returns how many queued flows the targets of each service can be given. A target without a load report counts
+// with its slots.
+func (b *Balancer) headroomByService(now time.Time) map[state.ServiceName]int {
 	headroom := make(map[state.ServiceName]int)
-	var reserved []*target
 	for _, t := range b.targets {
 		switch {
 		case !t.accepting(now):
-		case b.needsGrant(now, t):
-			reserved = append(reserved, t)
 		case t.lastReportAt.IsZero():
 			headroom[t.service] += max(1, t.load.Slots)
 		default:
 			headroom[t.service] += t.load.Headroom - t.unansweredOffers
 		}
 	}
-	return headroom, reserved
+	return headroom
 }
 
 // lateQueued reports whether a queued flow can no longer be answered within its latency objective.
--- a/core/coord/steer/search.go
+++ b/core/coord/steer/search.go
@@ -186,7 +186,7 @@
 	}
 }
 
-// FlushQueries sends the queries and the notices of resets that have accumulated. It must be called when no further event is
+// FlushQueries sends the queries that have accumulated. It must be called when no further event is
 // pending: after an outage a balancer searches for hundreds of flows at once, and one query has room for many.
 func (b *Balancer) FlushQueries() {
 	for _, t := range b.targetsToQuery {
@@ -282,7 +282,7 @@
 			continue
 		}
 		if seg.Opens {
-			b.offer(t, seg, false, 0)
+			b.offer(t, seg, false)
 			continue
 		}
 		b.forward(relay.KindData, t, seg)
--- a/core/coord/steer/steer.go
+++ b/core/coord/steer/steer.go
@@ -39,8 +39,6 @@
 	FlowTTL time.Duration
 	// Evacuation is true if new flows wait for the first orders to evacuate data centres; see SetEvacuations.
 	Evacuation bool
-	// SlotGrants makes the balancer ask agents for grants while it has queued flows.
-	SlotGrants bool
 }
 
 // Balancer holds the state of one balancer. It is not safe for concurrent use.
@@ -70,8 +68,6 @@
 	targetsVersion uint64
 	// queue holds the new flows for which a target is expected to be available shortly.
 	queue *queue.Queue
-	// demands holds the last demand of each service that ever had one; it is empty without Settings.SlotGrants.
-	demands map[state.ServiceName]*demand
 	// owners finds the balancers that keep a flow's location.
 	owners relay.Owners
 	// probeLimiter limits the bytes of probes.
@@ -108,10 +104,6 @@
 	refusedAsFull bool
 	// tried are the targets that the flow is not offered to again: they refused it, did not answer or do not hold it.
 	tried []*target
-	// grant is the grant with which the flow was last offered; zero if there was none.
-	grant relay.GrantID
-	// counted is the count of the last offer for the caller's share; nil without Settings.SlotGrants.
-	counted *queue.Placement
 }
 
 // New returns a balancer that starts at the given time.
@@ -127,12 +119,11 @@
 		serviceTimes:     make(map[state.ServiceName]time.Duration),
 		flows:            make(map[state.FlowID]*placement),
 		searches:         make(map[state.FlowID]*search),
-		demands:          make(map[state.ServiceName]*demand),
 		probeLimiter:     tokenBucket{tokens: probeBurstBytes, last: now},
 		started:          now,
 		evacuations:      evacuations{pending: settings.Evacuation},
 	}
-	b.queue = b.newQueue()
+	b.queue = queue.New(func(service state.ServiceName) time.Duration { return b.serviceTimes[service] })
 	return b
 }
 
@@ -269,8 +260,8 @@
 	})
 }
 
-// offer sends an opening packet to a target's agent, with a grant unless that is zero.
-func (b *Balancer) offer(t *target, seg state.Segment, late bool, grant relay.GrantID) {
+// offer sends an opening packet to a target's agent.
+func (b *Balancer) offer(t *target, seg state.Segment, late bool) {
 	b.actions.Send(t.address, relay.Message{
 		Kind:             relay.KindOpen,
 		Flow:             seg.Flow,
@@ -279,7 +270,6 @@
 		LatencyObjective: b.config.Routes[seg.Flow.Virtual].LatencyObjective,
 		Late:             late,
 		WarmupRate:       b.config.Services[t.service].WarmupRate,
-		Grant:            grant,
 		Packet:           seg.Packet,
 	})
 }
@@ -295,9 +285,6 @@
 	b.updateServiceTimes()
 	b.updateEjections(now)
 	b.placeQueued(now)
-	if b.settings.SlotGrants {
-		b.sendDemands(now)
-	}
 	b.FlushQueries()
 	if !now.Before(b.nextTimeoutCheck) {
 		b.nextTimeoutCheck = now.Add(timeoutCheckInterval)
--- a/core/coord/steer/summary.go
+++ b/core/coord/steer/summary.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"monsoonstep/core/coord/queue"
 	"monsoonstep/core/coord/relay"
 	"monsoonstep/core/state"
 )
@@ -43,19 +44,13 @@
 	Queued   int
 	Targets  []TargetStatus
 	// Queues is what is queued for each service that has queued flows.
-	Queues map[state.ServiceName]relay.Demand
+	Queues map[state.ServiceName]queue.Counts
 }
 
 // Summary returns the balancer's present state.
 func (b *Balancer) Summary(now time.Time) Summary {
-	queues := make(map[state.ServiceName]relay.Demand)
-	for service := range b.targetsByService {
-		if b.queue.ServiceLen(service) > 0 {
-			queues[service] = b.queue.Demand(now, service)
-		}
-	}
 	return Summary{
-		Queues:        queues,
+		Queues:        b.queue.Counts(now),
 		ActiveVersion: b.config.Version, Flows: len(b.flows), Searches: len(b.searches), Queued: b.queue.Len(), Targets: b.statuses(now),
 	}
 }
--- a/core/coord/steer/target.go
+++ b/core/coord/steer/target.go
@@ -80,9 +80,6 @@
 	unansweredAsks int
 	// unansweredOffers is how many new flows were offered to the target since that report and neither confirmed nor refused.
 	unansweredOffers int
-	// recentGrants are the latest grants of the agent, from nextGrant on the oldest first.
-	recentGrants [maxRecentGrants]relay.GrantID
-	nextGrant    int
 	// avoidUntil is until when the target gets no new flows because it did not answer an opening packet.
 	avoidUntil time.Time
 	// queryFlows are the flows to name in the next query to the agent.
@@ -214,9 +211,6 @@
 	t.refusesLateUntil = time.Time{}
 	if m.Load.Headroom > 0 && b.queue.Len() > 0 {
 		b.placeQueuedAt(now, t)
-		if b.settings.SlotGrants && t.accepting(now) {
-			b.requestGrants(now, t)
-		}
 	}
 }
 
--- a/core/proto/hops/hops_test.go
+++ b/core/proto/hops/hops_test.go
@@ -42,19 +42,12 @@
 		Service:          state.ServiceID(rapid.Uint32().Draw(t, "service")),
 		Config:           state.ConfigVersion(rapid.Uint64().Draw(t, "config")),
 		Holder:           drawAddress(t, "holder"),
-		Reason:           relay.Reason(rapid.IntRange(0, 5).Draw(t, "reason")),
+		Reason:           relay.Reason(rapid.IntRange(0, int(relay.ReasonNoHome)).Draw(t, "reason")),
 		LatencyObjective: time.Duration(rapid.IntRange(0, 1e4).Draw(t, "latency objective")) * time.Millisecond,
 		WarmupRate:       float64(rapid.IntRange(0, 1000).Draw(t, "warmup rate")) / 4,
-		Grant:            relay.GrantID(rapid.Uint64().Draw(t, "grant")),
-		Demand: relay.Demand{
-			InTime:   rapid.IntRange(0, 5000).Draw(t, "in time"),
-			Late:     rapid.IntRange(0, 5000).Draw(t, "late"),
-			Callers:  rapid.IntRange(0, 5000).Draw(t, "callers"),
-			Priority: rapid.IntRange(0, 9).Draw(t, "priority"),
-		},
-		Flows:      drawFlows(t, "flows"),
-		Unresolved: drawFlows(t, "unresolved"),
-		Packet:     rapid.SliceOfN(rapid.Byte(), 1, 1300).Draw(t, "packet"),
+		Flows:            drawFlows(t, "flows"),
+		Unresolved:       drawFlows(t, "unresolved"),
+		Packet:           rapid.SliceOfN(rapid.Byte(), 1, 1300).Draw(t, "packet"),
 	}
 	if m.HasLoad = rapid.Bool().Draw(t, "has load"); m.HasLoad {
 		m.Load = relay.Load{
--- a/core/proto/hops/relay.go
+++ b/core/proto/hops/relay.go
@@ -25,16 +25,6 @@
 	relayFlows
 	relayUnresolved
 	relayWarmupRateHundredths
-	relayGrant
-	relayDemand
-)
-
-// The field numbers of a relay.Demand.
-const (
-	demandInTime protowire.Number = iota + 1
-	demandLate
-	demandCallers
-	demandPriority
 )
 
 // The field numbers of a relay.Load.
@@ -72,23 +62,12 @@
 	b = appendFlows(b, relayFlows, m.Flows)
 	b = appendFlows(b, relayUnresolved, m.Unresolved)
 	b = appendVarint(b, relayWarmupRateHundredths, uint64(max(0, m.WarmupRate*hundredthsPerUnit)))
-	b = appendVarint(b, relayGrant, uint64(m.Grant))
-	if m.Demand != (relay.Demand{}) {
-		b = appendBytes(b, relayDemand, appendDemand(nil, m.Demand))
-	}
 	if m.HasLoad {
 		b = appendBytes(b, relayLoad, appendLoad(nil, m.Load))
 	}
 	return appendBytes(b, relayPacket, m.Packet)
 }
 
-func appendDemand(b []byte, d relay.Demand) []byte {
-	b = appendVarint(b, demandInTime, uint64(max(0, d.InTime)))
-	b = appendVarint(b, demandLate, uint64(max(0, d.Late)))
-	b = appendVarint(b, demandCallers, uint64(max(0, d.Callers)))
-	return appendVarint(b, demandPriority, uint64(max(0, d.Priority)))
-}
-
 func appendLoad(b []byte, l relay.Load) []byte {
 	b = appendVarint(b, loadAccepting, protowire.EncodeBool(l.Accepting))
 	b = appendVarint(b, loadReason, uint64(l.Reason))
@@ -180,28 +159,10 @@
 		err = forEachField(f.bytes, func(l field) error { setLoadField(&m.Load, l); return nil })
 	case relayWarmupRateHundredths:
 		m.WarmupRate = float64(min(f.value, maxCount)) / hundredthsPerUnit
-	case relayGrant:
-		m.Grant = relay.GrantID(f.value)
-	case relayDemand:
-		err = forEachField(f.bytes, func(d field) error { setDemandField(&m.Demand, d); return nil })
 	}
 	return err
 }
 
-func setDemandField(d *relay.Demand, f field) {
-	count := int(min(f.value, maxCount))
-	switch f.number {
-	case demandInTime:
-		d.InTime = count
-	case demandLate:
-		d.Late = count
-	case demandCallers:
-		d.Callers = count
-	case demandPriority:
-		d.Priority = count
-	}
-}
-
 // flowSize is the encoded size of a state.FlowID in bytes.
 const flowSize = 2 * endpointSize
 
--- a/io/conf/relay.go
+++ b/io/conf/relay.go
@@ -51,10 +51,8 @@
 	Evacuation bool
 	// Warmup determines the limit for a target's new flows during its warm-up. Only agents apply it; a balancer ignores it, since both
 	// roles are given the same settings.
-	Warmup warmup.Settings
-	// SlotGrants makes agents grant freed slots to the balancers that have queued flows.
-	SlotGrants bool
-	LogLevel    string
+	Warmup   warmup.Settings
+	LogLevel string
 }
 
 // RelayAgent holds the settings of an agent for opaque flows.
@@ -123,7 +121,6 @@
 		Grace:           r.seconds("graceSeconds", 5*time.Second, 0, 10*time.Minute),
 		Evacuation:      r.boolean("evacuation"),
 		Warmup:          r.warmup(),
-		SlotGrants:      r.boolean("slotGrants"),
 		LogLevel:        "info",
 	}
 	s.Listen = s.Internal
--- a/io/node/agent.go
+++ b/io/node/agent.go
@@ -57,7 +57,6 @@
 	a := &Agent{node: n, settings: s, outbound: outbound}
 	a.gate = gate.New(time.Now(), gate.Settings{
 		Self: s.Internal, Service: s.Service, HeartbeatPeriod: s.HeartbeatPeriod, FlowTTL: s.FlowTTL, Warmup: s.Warmup,
-		SlotGrants: s.SlotGrants,
 	}, gate.Actions{CheckTarget: a.startTargetCheck, Send: n.send, Deliver: a.deliver, Reply: a.reply, Reset: a.sendReset, OnDecision: n.decisionLog.record, OnAnswer: n.decisionLog.recordResponse})
 	n.onRelay = a.gate.HandleMessage
 	n.onPacket = a.handlePacket
--- a/io/node/balancer.go
+++ b/io/node/balancer.go
@@ -54,7 +54,6 @@
 	b := &Balancer{node: n, clients: clients}
 	b.steer = steer.New(time.Now(), steer.Settings{
 		Self: s.Internal, DataCentre: s.DataCentre, FlowTTL: s.FlowTTL, Evacuation: s.Evacuation,
-		SlotGrants: s.SlotGrants,
 	}, steer.Actions{Send: n.send, Reset: b.sendReset, OnDecision: n.decisionLog.record})
 	b.config = newConfigSyncer(b, source)
 	n.onRelay = b.steer.HandleMessage
--- a/io/node/dump.go
+++ b/io/node/dump.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"monsoonstep/core/coord/gate"
-	"monsoonstep/core/coord/grant"
 	"monsoonstep/core/coord/relay"
 	"monsoonstep/core/coord/steer"
 	"monsoonstep/core/errs"
@@ -47,11 +46,10 @@
 	Queues map[string]QueueDump `json:"queues,omitempty"`
 }
 
-// QueueDump is what a balancer has queued for a service; relay.Demand describes the fields. Callers is counted with slot grants only.
+// QueueDump is what a balancer has queued for a service; queue.Counts describes the fields.
 type QueueDump struct {
 	InTime   int `json:"inTime"`
 	Late     int `json:"late"`
-	Callers  int `json:"callers"`
 	Priority int `json:"priority"`
 }
 
@@ -101,17 +99,6 @@
 	Outstanding int `json:"busy"`
 	// ServiceTime is the moving average of the time of an answer that did not wait for a slot.
 	ServiceTime int64 `json:"serviceMillis"`
-	// Grants is the status of slot grants; it is missing if the setting is off.
-	Grants *GrantsDump `json:"slotGrants,omitempty"`
-}
-
-// GrantsDump is the status of slot grants; grant.Summary describes the fields.
-type GrantsDump struct {
-	Outstanding  int `json:"outstanding"`
-	Balancers    int `json:"balancers"`
-	Unresponsive int `json:"unresponsive"`
-	InTime       int `json:"queuedInTime"`
-	Late         int `json:"queuedLate"`
 }
 
 // inspect returns the common part of the status, and calls f in the event loop to read the rest. If the event loop does not run it within
@@ -144,8 +131,8 @@
 		return BalancerDump{Dump: d}
 	}
 	queues := make(map[string]QueueDump, len(s.Queues))
-	for service, demand := range s.Queues {
-		queues[string(service)] = QueueDump(demand)
+	for service, counts := range s.Queues {
+		queues[string(service)] = QueueDump(counts)
 	}
 	return BalancerDump{
 		Queues: queues,
@@ -170,17 +157,7 @@
 		OpenFlows:     s.OpenFlows,
 		Outstanding:   s.Outstanding,
 		ServiceTime:   s.ServiceTime.Milliseconds(),
-		Grants:        a.dumpGrants(s.Grants),
-	}
-}
-
-// dumpGrants converts the status of slot grants; it returns nil if they are off.
-func (a *Agent) dumpGrants(s grant.Summary) *GrantsDump {
-	if !a.settings.SlotGrants {
-		return nil
 	}
-	d := GrantsDump(s)
-	return &d
 }
 
 // dumpTargets converts the statuses of targets, sorted by service and address.
--- a/io/node/settings.go
+++ b/io/node/settings.go
@@ -46,8 +46,6 @@
 	Grace time.Duration
 	// Evacuation is true if the operator's orders to evacuate data centres are followed.
 	Evacuation bool
-	// SlotGrants makes agents grant freed slots to the balancers that have queued flows.
-	SlotGrants bool
 }
 
 // BalancerSettings are the settings of a balancer.
