steer: targets with the choice between them, and searches, are types of their own

Balancer held all state in one struct. The targets with their load and the choice between them (targetSet: no flows), and the searches with what is to be sent for them (searches), have their own state and invariants now; the placing of new flows has its own file. No change of behaviour; the tests are unchanged but for the names in the one that looks inside.

--- a/core/coord/steer/candidates.go
+++ b/core/coord/steer/candidates.go
@@ -39,25 +39,25 @@
 	allowed    poolPair
 }
 
-// addTarget adds a target to the pools of its service.
-func (b *Balancer) addTarget(t *target) {
-	pair := b.selection.pools[t.service]
+// add adds a target to the pools of its service.
+func (s *targetSet) add(t *target) {
+	pair := s.selection.pools[t.service]
 	if pair == nil {
 		pair = new(poolPair)
-		b.selection.pools[t.service] = pair
+		s.selection.pools[t.service] = pair
 	}
-	b.poolOf(pair, t).add(t)
+	s.poolOf(pair, t).add(t)
 }
 
 // poolOf returns the pool of a pair to which a target belongs.
-func (b *Balancer) poolOf(pair *poolPair, t *target) *pool {
-	if t.dataCentre == b.settings.DataCentre {
+func (s *targetSet) poolOf(pair *poolPair, t *target) *pool {
+	if t.dataCentre == s.dataCentre {
 		return &pair[0]
 	}
 	return &pair[1]
 }
 
-// candidates yields the targets for a new flow in the groups of Balancer.candidateGroups. It selects the next group only when it is
+// candidates yields the targets for a new flow in the groups of targetSet.candidateGroups. It selects the next group only when it is
 // asked for: nearly always the first or the first two suffice, and to sort all targets of a service would take longer.
 type candidates struct {
 	key   uint64
--- a/core/coord/steer/candidates_test.go
+++ b/core/coord/steer/candidates_test.go
@@ -20,7 +20,7 @@
 	for n := range rapid.IntRange(0, 90).Draw(t, "targets") {
 		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 7700)
 		dataCentre := byName.Draw(t, "data centre")
-		b.targets[address] = &target{
+		b.targets.byAddress[address] = &target{
 			address: address, service: "s", hash: relay.NodeHash(address), dataCentre: dataCentre, region: state.Region(dataCentre),
 			member: true, evacuations: &b.evacuations, lastReportAt: now, refusesLateUntil: now.Add(time.Duration(rapid.IntRange(0, 1).Draw(t, "refuses late"))),
 			load: relay.Load{
@@ -31,7 +31,7 @@
 			},
 		}
 	}
-	b.indexTargets()
+	b.targets.index()
 	return b
 }
 
@@ -39,13 +39,13 @@
 func chooseBySorting(b *Balancer, now time.Time, targets []*target, flow state.FlowID, excluded []*target, late bool) (*target, int) {
 	var best *target
 	considered := 0
-	for i, group := range b.candidateGroups(flow, targets) {
-		t, accepting := b.cheapest(now, group, excluded, late)
+	for i, group := range b.targets.candidateGroups(flow, targets) {
+		t, accepting := b.targets.cheapest(now, group, excluded, late)
 		considered += accepting
-		if t != nil && (best == nil || b.cost(now, t) < b.cost(now, best)) {
+		if t != nil && (best == nil || b.targets.cost(now, t) < b.targets.cost(now, best)) {
 			best = t
 		}
-		if best != nil && (i > 0 || b.hasFreeSlot(now, best)) {
+		if best != nil && (i > 0 || b.targets.hasFreeSlot(now, best)) {
 			return best, considered
 		}
 	}
@@ -63,10 +63,10 @@
 		b := drawBalancer(t, now)
 		flow := state.FlowID{Client: state.Endpoint{Port: rapid.Uint16().Draw(t, "client")}}
 		route := rapid.SampledFrom([]state.Route{{}, {Regions: []state.Region{"b"}}, {Regions: []state.Region{"a", "c"}}}).Draw(t, "route")
-		targets := b.allowedTargets(route, "s")
+		targets := b.targets.allowed(route, "s")
 		c := &candidates{}
-		c.start(flow, b.allowedPairOf(route, "s"))
-		for _, expected := range b.candidateGroups(flow, targets) {
+		c.start(flow, b.targets.allowedPair(route, "s"))
+		for _, expected := range b.targets.candidateGroups(flow, targets) {
 			if group := c.next(); !slices.Equal(group, expected) {
 				t.Fatalf("group %v, expected %v", group, expected)
 			}
@@ -77,7 +77,7 @@
 		excluded := targets[:min(len(targets), rapid.IntRange(0, 3).Draw(t, "excluded"))]
 		late := rapid.Bool().Draw(t, "late")
 		expected, expectedCount := chooseBySorting(b, now, targets, flow, excluded, late)
-		if chosen, count := b.chooseTarget(now, route, "s", flow, excluded, late); chosen != expected || count != expectedCount {
+		if chosen, count := b.targets.choose(now, route, "s", flow, excluded, late); chosen != expected || count != expectedCount {
 			t.Fatalf("chose %v of %d, expected %v of %d", chosen, count, expected, expectedCount)
 		}
 	})
--- a/core/coord/steer/cost.go
+++ b/core/coord/steer/cost.go
@@ -23,16 +23,16 @@
 // speed are used equally; by the service time itself, those that are 2.4 times as fast as others were used 1.15 times as much as the mean
 // at 80% load. Service times are also estimated from few requests: with 3% that take seven times as long, the estimates
 // differ by a third by chance. Offers on the way count with the service time, so that a burst is divided by capacity.
-func (b *Balancer) cost(now time.Time, t *target) time.Duration {
+func (s *targetSet) cost(now time.Time, t *target) time.Duration {
 	slots := float64(max(1, t.load.Slots))
-	mean := b.serviceTimes[t.service]
+	mean := s.serviceTimes[t.service]
 	if mean == 0 {
 		mean = defaultServiceTime
 	}
-	ratio := float64(b.serviceTime(t)) / float64(mean)
-	work := (b.reportedOutstanding(now, t)+1)*dampedRatio(ratio) + float64(t.unansweredOffers)*ratio
+	ratio := float64(s.serviceTime(t)) / float64(mean)
+	work := (s.reportedOutstanding(now, t)+1)*dampedRatio(ratio) + float64(t.unansweredOffers)*ratio
 	cost := time.Duration(work * float64(mean) / slots)
-	if t.dataCentre != b.settings.DataCentre {
+	if t.dataCentre != s.dataCentre {
 		cost += crossDataCentrePenalty
 	}
 	return cost
@@ -46,20 +46,20 @@
 }
 
 // expectedOutstanding estimates the outstanding requests at a target, with the offers on the way.
-func (b *Balancer) expectedOutstanding(now time.Time, t *target) float64 {
-	return b.reportedOutstanding(now, t) + float64(t.unansweredOffers)
+func (s *targetSet) expectedOutstanding(now time.Time, t *target) float64 {
+	return s.reportedOutstanding(now, t) + float64(t.unansweredOffers)
 }
 
 // reportedOutstanding estimates the outstanding requests at a target without the offers on the way. The number that the agent reported
 // approaches its mean as the requests of then are answered and others arrive, within about a service time.
-func (b *Balancer) reportedOutstanding(now time.Time, t *target) float64 {
+func (s *targetSet) reportedOutstanding(now time.Time, t *target) float64 {
 	mean := t.load.MeanOutstanding
 	age := relay.AgeOf(now, t.loadAt)
-	remaining := math.Exp(-float64(age) / float64(b.serviceTime(t)))
+	remaining := math.Exp(-float64(age) / float64(s.serviceTime(t)))
 	return mean + (float64(t.load.Outstanding)-mean)*remaining
 }
 
 // hasFreeSlot reports whether one more request is expected to run at a target without waiting.
-func (b *Balancer) hasFreeSlot(now time.Time, t *target) bool {
-	return b.expectedOutstanding(now, t)+1 <= float64(t.load.Slots)
+func (s *targetSet) hasFreeSlot(now time.Time, t *target) bool {
+	return s.expectedOutstanding(now, t)+1 <= float64(t.load.Slots)
 }
--- a/core/coord/steer/ejection.go
+++ b/core/coord/steer/ejection.go
@@ -10,8 +10,8 @@
 )
 
 // updateEjections determines for each target whether it gets no new flows because it fails requests.
-func (b *Balancer) updateEjections(now time.Time) {
-	for _, targets := range b.targetsByService {
+func (s *targetSet) updateEjections(now time.Time) {
+	for _, targets := range s.byService {
 		serving, failing := 0, 0
 		for _, t := range targets {
 			if !t.serving(now) {
--- a/core/coord/steer/evacuation.go
+++ b/core/coord/steer/evacuation.go
@@ -38,11 +38,11 @@
 // these that could accept a new flow now or shortly. A balancer that may still discover agents doesn't conclude this.
 func (b *Balancer) onlyEvacuated(now time.Time, route state.Route, service state.ServiceName) bool {
 	if !b.settings.Evacuation || b.evacuations.pending || !b.membershipComplete ||
-		now.Sub(b.started) <= startupSettleTime || now.Sub(b.lastNewAgentAt) <= discoverySettleTime {
+		now.Sub(b.started) <= startupSettleTime || now.Sub(b.targets.lastNewAgentAt) <= discoverySettleTime {
 		return false
 	}
 	anyEvacuated := false
-	for _, t := range b.allowedTargets(route, service) {
+	for _, t := range b.targets.allowed(route, service) {
 		if t.serving(now) || t.isStarting(now) {
 			return false
 		}
@@ -64,7 +64,7 @@
 // EvacuatedTargets returns how many running targets get no new flows because of an evacuation.
 func (b *Balancer) EvacuatedTargets() int {
 	count := 0
-	for _, t := range b.targets {
+	for _, t := range b.targets.byAddress {
 		if t.running() && t.evacuated() {
 			count++
 		}
--- a/core/coord/steer/lateness.go
+++ b/core/coord/steer/lateness.go
@@ -18,39 +18,5 @@
 	if waited == 0 {
 		return false
 	}
-	return waited+b.serviceTimes[route.SelectService(seg.Flow)] > route.LatencyObjective
-}
-
-// updateServiceTimes recomputes the mean service time of each service's targets that accept new flows.
-func (b *Balancer) updateServiceTimes() {
-	clear(b.serviceTimes)
-	for service, targets := range b.targetsByService {
-		var sum time.Duration
-		known := 0
-		for _, t := range targets {
-			if t.load.ServiceTime > 0 && t.load.Accepting {
-				sum += b.serviceTime(t)
-				known++
-			}
-		}
-		if known > 0 {
-			b.serviceTimes[service] = sum / time.Duration(known)
-		}
-	}
-}
-
-// serviceTime is the expected service time of a request at a target, which is longer during the target's warm-up. One whose
-// own is not known is expected to take as long as the others of its service.
-func (b *Balancer) serviceTime(t *target) time.Duration {
-	d := t.load.ServiceTime
-	if d == 0 {
-		d = b.serviceTimes[t.service]
-	}
-	if d == 0 {
-		d = defaultServiceTime
-	}
-	if t.load.WarmupLeft > 0 {
-		d = time.Duration(warmupSlowdownFactor * float64(d))
-	}
-	return d
+	return waited+b.targets.serviceTimes[route.SelectService(seg.Flow)] > route.LatencyObjective
 }
--- a/core/coord/steer/members.go
+++ b/core/coord/steer/members.go
@@ -22,24 +22,13 @@
 	for _, m := range newest {
 		b.setMember(now, m)
 	}
-	for address, t := range b.targets {
+	for address, t := range b.targets.byAddress {
 		if _, ok := newest[address]; !ok && t.running() {
 			t.health = state.HealthDead
 			t.changedAt = now
 		}
 	}
-	b.indexTargets()
-}
-
-// indexTargets rebuilds targetsByService and the pools.
-func (b *Balancer) indexTargets() {
-	clear(b.targetsByService)
-	clear(b.selection.pools)
-	b.targetsVersion++
-	for _, t := range b.targets {
-		b.targetsByService[t.service] = append(b.targetsByService[t.service], t)
-		b.addTarget(t)
-	}
+	b.targets.index()
 }
 
 // supersedes reports whether m rather than old is the current one of two processes at one address: a running process
@@ -53,7 +42,7 @@
 
 // setMember applies the membership's state of one agent.
 func (b *Balancer) setMember(now time.Time, m state.Member) {
-	t := b.targets[m.Flow]
+	t := b.targets.byAddress[m.Flow]
 	if t == nil && !m.Present() {
 		return
 	}
@@ -93,7 +82,7 @@
 		former.lastHeardAt = time.Time{}
 	}
 	t := &target{address: m.Flow, service: m.Service, hash: relay.NodeHash(m.Flow), changedAt: now, evacuations: &b.evacuations}
-	b.targets[m.Flow] = t
-	b.lastNewAgentAt = now
+	b.targets.byAddress[m.Flow] = t
+	b.targets.lastNewAgentAt = now
 	return t
 }
--- a/core/coord/steer/messages.go
+++ b/core/coord/steer/messages.go
@@ -12,7 +12,7 @@
 // HandleMessage handles a message from another node. The segment is the decoded packet of the message, if it carries
 // one.
 func (b *Balancer) HandleMessage(now time.Time, from netip.AddrPort, m relay.Message, seg state.Segment) {
-	if t := b.targets[from]; t != nil {
+	if t := b.targets.byAddress[from]; t != nil {
 		t.heard(now)
 	}
 	switch m.Kind {
@@ -36,17 +36,17 @@
 // handleQueryReply handles an agent's reply to a query: the flows that its target does not hold, and those that the
 // agent can't resolve without a packet, which are probed next.
 func (b *Balancer) handleQueryReply(now time.Time, from netip.AddrPort, m relay.Message) {
-	t := b.targets[from]
+	t := b.targets.byAddress[from]
 	if t == nil {
 		return
 	}
 	for _, id := range m.Flows {
-		if s, searching := b.searches[id]; searching {
+		if s, searching := b.searches.byFlow[id]; searching {
 			b.notFound(now, s, t)
 		}
 	}
 	for _, id := range m.Unresolved {
-		if s, searching := b.searches[id]; searching {
+		if s, searching := b.searches.byFlow[id]; searching {
 			s.unresolved = append(s.unresolved, t)
 			s.pending = slices.DeleteFunc(s.pending, func(other *target) bool { return other == t })
 			b.searchNextBatch(now, s)
@@ -56,7 +56,7 @@
 
 // handleLocation handles the location of a flow, reported by its agent or by an owner.
 func (b *Balancer) handleLocation(now time.Time, from netip.AddrPort, m relay.Message) {
-	t := b.targets[m.Holder]
+	t := b.targets.byAddress[m.Holder]
 	if t == nil || t.service.ID() != m.Service {
 		return
 	}
@@ -77,7 +77,7 @@
 	default:
 		b.flows[m.Flow] = &placement{target: t, since: now, confirmed: true}
 	}
-	if s, searching := b.searches[m.Flow]; searching {
+	if s, searching := b.searches.byFlow[m.Flow]; searching {
 		b.concludeFound(now, s, t, from == m.Holder && slices.Contains(s.probed, t))
 	}
 }
@@ -107,7 +107,7 @@
 // handleLookupMiss records that an owner does not know a flow's location. After the last owner's miss the agents are
 // searched.
 func (b *Balancer) handleLookupMiss(now time.Time, from netip.AddrPort, m relay.Message) {
-	s, searching := b.searches[m.Flow]
+	s, searching := b.searches.byFlow[m.Flow]
 	if !searching || s.agentPhase {
 		return
 	}
@@ -147,11 +147,11 @@
 // handleNotFound handles an agent's report that its target does not hold a flow. If the agent returned the packet, it
 // starts a search for the holder.
 func (b *Balancer) handleNotFound(now time.Time, from netip.AddrPort, m relay.Message, seg state.Segment) {
-	t := b.targets[from]
+	t := b.targets.byAddress[from]
 	if t == nil {
 		return
 	}
-	if s, searching := b.searches[m.Flow]; searching {
+	if s, searching := b.searches.byFlow[m.Flow]; searching {
 		b.notFound(now, s, t)
 		return
 	}
--- a/core/coord/steer/queue.go
+++ b/core/coord/steer/queue.go
@@ -49,16 +49,6 @@
 	return &placement{since: now, queuedAt: f.Since, unanswered: f.Unanswered}
 }
 
-// anyServing reports whether any target for a route accepts new flows in general, even if all are full at this moment.
-func (b *Balancer) anyServing(now time.Time, route state.Route, service state.ServiceName) bool {
-	for _, t := range b.allowedTargets(route, service) {
-		if t.serving(now) {
-			return true
-		}
-	}
-	return false
-}
-
 // expectsTarget reports whether a target for a route is likely to appear shortly: either an agent of the service is starting, or
 // this balancer has just started and has no load report of the service yet, except from evacuated targets.
 func (b *Balancer) expectsTarget(now time.Time, route state.Route, service state.ServiceName) bool {
@@ -66,7 +56,7 @@
 		return true
 	}
 	reported := false
-	for _, t := range b.allowedTargets(route, service) {
+	for _, t := range b.targets.allowed(route, service) {
 		if t.isStarting(now) {
 			return true
 		}
@@ -82,7 +72,7 @@
 	if b.queue.Len() == 0 {
 		return
 	}
-	headroom := b.headroomByService(now)
+	headroom := b.targets.headroom(now)
 	for _, f := range b.queue.Sorted(now) {
 		if b.config.Version != 0 && !f.Routed {
 			b.resetUnrouted(f.Segment)
@@ -104,7 +94,7 @@
 
 // placeAtBestTarget offers a queued flow to the best target, and reports whether there is one.
 func (b *Balancer) placeAtBestTarget(now time.Time, f *queue.Flow) bool {
-	t, considered := b.chooseTarget(now, f.Route, f.Service, f.Segment.Flow, nil, b.lateQueued(now, f))
+	t, considered := b.targets.choose(now, f.Route, f.Service, f.Segment.Flow, nil, b.lateQueued(now, f))
 	if t == nil {
 		return false
 	}
@@ -134,22 +124,6 @@
 	})
 }
 
-// headroomByService returns how many queued flows the targets of each service can be given. A target without a load report counts
-// with its slots.
-func (b *Balancer) headroomByService(now time.Time) map[state.ServiceName]int {
-	headroom := make(map[state.ServiceName]int)
-	for _, t := range b.targets {
-		switch {
-		case !t.accepting(now):
-		case t.lastReportAt.IsZero():
-			headroom[t.service] += max(1, t.load.Slots)
-		default:
-			headroom[t.service] += t.load.Headroom - t.unansweredOffers
-		}
-	}
-	return headroom
-}
-
 // lateQueued reports whether a queued flow can no longer be answered within its latency objective.
 func (b *Balancer) lateQueued(now time.Time, f *queue.Flow) bool {
 	return b.isLate(now, f.Route, f.Segment, f.Since)
--- a/core/coord/steer/regions.go
+++ b/core/coord/steer/regions.go
@@ -8,9 +8,9 @@
 	"monsoonstep/core/state"
 )
 
-// allowedTargets returns the targets of a service in the regions to which a route allows new flows.
-func (b *Balancer) allowedTargets(route state.Route, service state.ServiceName) []*target {
-	targets := b.targetsByService[service]
+// allowed returns the targets of a service in the regions to which a route allows new flows.
+func (s *targetSet) allowed(route state.Route, service state.ServiceName) []*target {
+	targets := s.byService[service]
 	if len(route.Regions) == 0 {
 		return targets
 	}
@@ -23,28 +23,28 @@
 	return allowed
 }
 
-// allowedPairOf returns the targets of allowedTargets as pools, which are valid until its next call.
-func (b *Balancer) allowedPairOf(route state.Route, service state.ServiceName) *poolPair {
-	pair := b.selection.pools[service]
+// allowedPair returns the targets of allowedTargets as pools, which are valid until its next call.
+func (s *targetSet) allowedPair(route state.Route, service state.ServiceName) *poolPair {
+	pair := s.selection.pools[service]
 	if pair != nil && len(route.Regions) == 0 {
 		return pair
 	}
-	allowed := &b.selection.allowed
+	allowed := &s.selection.allowed
 	allowed.empty()
-	for _, t := range b.targetsByService[service] {
+	for _, t := range s.byService[service] {
 		if route.Allows(t.region) {
-			b.poolOf(allowed, t).add(t)
+			s.poolOf(allowed, t).add(t)
 		}
 	}
 	return allowed
 }
 
 // hasNoHome reports whether a route is restricted to regions in which no agent of the service runs.
-func (b *Balancer) hasNoHome(route state.Route, service state.ServiceName) bool {
+func (s *targetSet) hasNoHome(route state.Route, service state.ServiceName) bool {
 	if len(route.Regions) == 0 {
 		return false
 	}
-	for _, t := range b.targetsByService[service] {
+	for _, t := range s.byService[service] {
 		if t.running() && route.Allows(t.region) {
 			return false
 		}
@@ -55,7 +55,7 @@
 // refuseWithoutHome refuses a queued flow whose route is restricted to regions without a target, and reports whether it did. A flow
 // that was queued before the first configuration, or before its route was restricted, is not refused earlier.
 func (b *Balancer) refuseWithoutHome(now time.Time, f *queue.Flow) bool {
-	if !b.hasNoHome(f.Route, f.Service) || b.expectsTarget(now, f.Route, f.Service) {
+	if !b.targets.hasNoHome(f.Route, f.Service) || b.expectsTarget(now, f.Route, f.Service) {
 		return false
 	}
 	b.queue.Remove(f.Segment.Flow)
--- a/core/coord/steer/search.go
+++ b/core/coord/steer/search.go
@@ -29,8 +29,6 @@
 	searchRetryInterval = 100 * time.Millisecond
 	// searchTimeout limits a search; the client's next retransmission starts another one.
 	searchTimeout = 5 * time.Second
-	// maxSearches limits the searches of a balancer. A new one replaces the oldest.
-	maxSearches = 4096
 )
 
 // search is the state of the search for the holder of a flow. It starts with lookups at the flow's owners. If these don't
@@ -114,7 +112,7 @@
 func (b *Balancer) searchAgents(now time.Time, s *search) {
 	s.owners = nil
 	if s.segment.Opens {
-		b.removeSearch(s.segment.Flow)
+		b.searches.remove(s.segment.Flow)
 		b.placeSearched(now, s)
 		return
 	}
@@ -127,7 +125,7 @@
 // it concludes that the flow was not found.
 func (b *Balancer) searchNextBatch(now time.Time, s *search) {
 	s.deadline = now.Add(batchTimeout)
-	s.targetsVersion = b.targetsVersion
+	s.targetsVersion = b.targets.version
 	remaining := b.remainingTargets(now, s)
 	if len(remaining) == 0 {
 		if len(s.pending) == 0 {
@@ -153,7 +151,7 @@
 	}
 	s.pending = append(s.pending, t)
 	if len(t.queryFlows) == 0 {
-		b.targetsToQuery = append(b.targetsToQuery, t)
+		b.searches.targetsToQuery = append(b.searches.targetsToQuery, t)
 	}
 	t.queryFlows = append(t.queryFlows, s.segment.Flow)
 	if len(t.queryFlows) == relay.MaxFlows {
@@ -169,7 +167,7 @@
 		return
 	}
 	wanted := min(s.batchSize, len(remaining))
-	allowed := b.probeLimiter.take(now, wanted, len(s.segment.Packet))
+	allowed := b.searches.probeLimiter.take(now, wanted, len(s.segment.Packet))
 	if allowed == 0 {
 		s.deadline = now.Add(searchRetryInterval)
 		return
@@ -189,10 +187,10 @@
 // FlushQueries sends the queries that have accumulated. It must be called when no further event is
 // pending: after an outage a balancer searches for hundreds of flows at once, and one query has room for many.
 func (b *Balancer) FlushQueries() {
-	for _, t := range b.targetsToQuery {
+	for _, t := range b.searches.targetsToQuery {
 		b.sendQuery(t)
 	}
-	b.targetsToQuery = b.targetsToQuery[:0]
+	b.searches.targetsToQuery = b.searches.targetsToQuery[:0]
 }
 
 // sendQuery sends the accumulated flows of one agent as a query.
@@ -210,7 +208,7 @@
 // considered for it: it is most likely at the target where it would be placed today.
 func (b *Balancer) remainingTargets(now time.Time, s *search) []*target {
 	var remaining []*target
-	groups := b.candidateGroups(s.segment.Flow, b.possibleHolders(s.segment.Flow.Virtual))
+	groups := b.targets.candidateGroups(s.segment.Flow, b.possibleHolders(s.segment.Flow.Virtual))
 	for _, t := range slices.Concat(groups...) {
 		if !slices.Contains(s.notFound, t) && !slices.Contains(s.pending, t) && !t.presumedDead(now) && !slices.Contains(s.skipped, t) {
 			remaining = append(remaining, t)
@@ -241,7 +239,7 @@
 		s.unresolvedReason = unresolvedReason
 		return
 	}
-	b.removeSearch(s.segment.Flow)
+	b.searches.remove(s.segment.Flow)
 	b.reset(s.segment, relay.Decision{Age: now.Sub(s.since), Count: len(s.notFound)})
 }
 
@@ -252,7 +250,7 @@
 		return relay.ReasonNotReady
 	case !b.membershipComplete || !b.knowsAgents(virtual):
 		return relay.ReasonIncompleteMembership
-	case now.Sub(b.started) <= startupSettleTime || now.Sub(b.lastNewAgentAt) <= discoverySettleTime:
+	case now.Sub(b.started) <= startupSettleTime || now.Sub(b.targets.lastNewAgentAt) <= discoverySettleTime:
 		return relay.ReasonSettling
 	default:
 		return relay.ReasonNone
@@ -263,7 +261,7 @@
 // balancer's list of agents that was lost, and not the flow.
 func (b *Balancer) knowsAgents(virtual state.Endpoint) bool {
 	for _, service := range b.servicesByAddress[virtual] {
-		if len(b.targetsByService[service]) > 0 {
+		if len(b.targets.byService[service]) > 0 {
 			return true
 		}
 	}
@@ -273,7 +271,7 @@
 // concludeFound ends a search and sends the kept packets to the holder, without the first one if a probe has delivered
 // it.
 func (b *Balancer) concludeFound(now time.Time, s *search, t *target, delivered bool) {
-	b.removeSearch(s.segment.Flow)
+	b.searches.remove(s.segment.Flow)
 	b.actions.OnDecision(relay.Decision{
 		Event: relay.EventFound, Flow: s.segment.Flow, Peer: t.address, Config: b.config.Version, Age: now.Sub(s.since),
 	})
--- a/core/coord/steer/searchretry.go
+++ b/core/coord/steer/searchretry.go
@@ -5,35 +5,19 @@
 	"time"
 
 	"monsoonstep/core/coord/relay"
-	"monsoonstep/core/state"
 )
 
 // askAgainIntervals are the times between two queries or probes of a search to agents that did not reply; the last one repeats. The
 // first is short because datagrams are occasionally lost.
 var askAgainIntervals = []time.Duration{batchTimeout, 300 * time.Millisecond, 600 * time.Millisecond}
 
-// addSearch adds a search. If there are maxSearches already, the oldest ends without a reset: its flow may have a holder.
+// addSearch adds a search. One that ends for it ends without a reset: its flow may have a holder.
 func (b *Balancer) addSearch(s *search) {
-	for len(b.searches) >= maxSearches {
-		oldest := b.searchOrder[0]
-		b.searchOrder = b.searchOrder[1:]
-		if b.searches[oldest.segment.Flow] != oldest {
-			continue
-		}
-		b.removeSearch(oldest.segment.Flow)
+	for _, dropped := range b.searches.add(s) {
 		b.actions.OnDecision(relay.Decision{
-			Event: relay.EventSearchDropped, Flow: oldest.segment.Flow, Config: b.config.Version, Age: s.since.Sub(oldest.since),
+			Event: relay.EventSearchDropped, Flow: dropped.segment.Flow, Config: b.config.Version, Age: s.since.Sub(dropped.since),
 		})
 	}
-	b.searches[s.segment.Flow] = s
-	b.searchOrder = append(b.searchOrder, s)
-}
-
-func (b *Balancer) removeSearch(flow state.FlowID) { delete(b.searches, flow) }
-
-// compactSearchOrder removes the searches that have ended from searchOrder.
-func (b *Balancer) compactSearchOrder() {
-	b.searchOrder = slices.DeleteFunc(b.searchOrder, func(s *search) bool { return b.searches[s.segment.Flow] != s })
 }
 
 // handleSearchTimeout continues or ends a search whose deadline has passed: from the owners to the agents, to the next
@@ -44,7 +28,7 @@
 		b.searchAgents(now, s)
 	case now.Sub(s.since) > searchTimeout:
 		b.abandonSearch(now, s)
-	case b.removeSilentAgents(now, s) || s.targetsVersion != b.targetsVersion || len(s.pending) == 0:
+	case b.removeSilentAgents(now, s) || s.targetsVersion != b.targets.version || len(s.pending) == 0:
 		b.continueSearch(now, s)
 	case s.askAgainAt.IsZero() || !now.Before(s.askAgainAt):
 		b.continueSearch(now, s)
@@ -73,7 +57,7 @@
 	allAsked := len(s.pending) > 0 && len(b.remainingTargets(now, s)) == 0
 	if allAsked && now.Before(s.askAgainAt) {
 		s.deadline = now.Add(batchTimeout)
-		s.targetsVersion = b.targetsVersion
+		s.targetsVersion = b.targets.version
 		return
 	}
 	if allAsked {
@@ -89,7 +73,7 @@
 
 // abandonSearch ends an unresolved search without a reset; the client's next retransmission starts another one.
 func (b *Balancer) abandonSearch(now time.Time, s *search) {
-	b.removeSearch(s.segment.Flow)
+	b.searches.remove(s.segment.Flow)
 	b.logUnresolved(now, s)
 }
 
--- a/core/coord/steer/steer.go
+++ b/core/coord/steer/steer.go
@@ -5,6 +5,9 @@
 // Any balancer may receive any packet. A balancer's knowledge of flows is a cache: the agents are authoritative. They
 // report the location of each flow to a fixed number of balancers, its owners, at which the others look it up.
 //
+// Its parts are the targets with their load and the choice between them (targetset.go, choose.go, cost.go), the placing of new
+// flows (place.go, queue.go) and the searches (searches.go, search.go). Balancer joins them.
+//
 // A balancer is deterministic: events and the current time are passed in, and its effects are calls of the functions in
 // Actions.
 package steer
@@ -49,42 +52,25 @@
 	// servicesByAddress has, for each address with a route, every service that any configuration so far has routed it
 	// to: open flows stay at their targets when a route changes.
 	servicesByAddress map[state.Endpoint][]state.ServiceName
-	// targets holds the targets by the address of their agents; an agent that is replaced at its address keeps its
-	// entry.
-	targets map[netip.AddrPort]*target
-	// targetsByService holds the same targets by service.
-	targetsByService map[state.ServiceName][]*target
-	// selection holds the same targets in the form in which they are selected for new flows.
-	selection selection
-	// serviceTimes holds the mean service time of each service's targets; a service is missing while none is known.
-	serviceTimes map[state.ServiceName]time.Duration
+	// targets holds the targets, their load, and the choice between them.
+	targets *targetSet
 	// flows holds the placement of each flow that this balancer forwards or owns.
 	flows map[state.FlowID]*placement
 	// searches holds the flows whose holder is being searched for.
-	searches map[state.FlowID]*search
-	// searchOrder holds every search, in the order of their starts, and some that have ended.
-	searchOrder []*search
-	// targetsVersion rises with each change of the membership.
-	targetsVersion uint64
+	searches searches
 	// queue holds the new flows for which a target is expected to be available shortly.
 	queue *queue.Queue
 	// owners finds the balancers that keep a flow's location.
-	owners relay.Owners
-	// probeLimiter limits the bytes of probes.
-	probeLimiter tokenBucket
-	started      time.Time
+	owners  relay.Owners
+	started time.Time
 	// membershipComplete is true while this node knows at least as many agents as most of its peers report.
 	membershipComplete bool
-	// lastNewAgentAt is when a new agent was last discovered.
-	lastNewAgentAt   time.Time
-	nextSweep        time.Time
-	nextTimeoutCheck time.Time
+	nextSweep          time.Time
+	nextTimeoutCheck   time.Time
 	// unresponsiveAt is when most agents were last unresponsive; zero if they never were.
 	unresponsiveAt time.Time
 	// messagesDroppedAt is when this balancer last dropped messages from other nodes.
 	messagesDroppedAt time.Time
-	// targetsToQuery are the targets for whose agents queries have accumulated since the last FlushQueries.
-	targetsToQuery []*target
 	// evacuations says to which data centres no new flow may be sent.
 	evacuations evacuations
 }
@@ -112,18 +98,13 @@
 		settings:          settings,
 		actions:           actions,
 		servicesByAddress: make(map[state.Endpoint][]state.ServiceName),
-		targets:           make(map[netip.AddrPort]*target),
-
-		targetsByService: make(map[state.ServiceName][]*target),
-		selection:        selection{pools: make(map[state.ServiceName]*poolPair)},
-		serviceTimes:     make(map[state.ServiceName]time.Duration),
-		flows:            make(map[state.FlowID]*placement),
-		searches:         make(map[state.FlowID]*search),
-		probeLimiter:     tokenBucket{tokens: probeBurstBytes, last: now},
-		started:          now,
-		evacuations:      evacuations{pending: settings.Evacuation},
+		targets:           newTargetSet(settings.DataCentre),
+		flows:             make(map[state.FlowID]*placement),
+		searches:          newSearches(now),
+		started:           now,
+		evacuations:       evacuations{pending: settings.Evacuation},
 	}
-	b.queue = queue.New(func(service state.ServiceName) time.Duration { return b.serviceTimes[service] })
+	b.queue = queue.New(func(service state.ServiceName) time.Duration { return b.targets.serviceTimes[service] })
 	return b
 }
 
@@ -154,7 +135,7 @@
 // SetBalancers replaces the list of balancers, this one included. Their number determines how often agents report.
 func (b *Balancer) SetBalancers(list []netip.AddrPort) {
 	b.owners = relay.NewOwners(list)
-	for _, t := range b.targets {
+	for _, t := range b.targets.byAddress {
 		if t.lastReportAt.IsZero() {
 			t.load.ReportInterval = b.reportInterval()
 		}
@@ -178,7 +159,7 @@
 		b.resetUnrouted(seg)
 		return
 	}
-	if s, searching := b.searches[seg.Flow]; searching {
+	if s, searching := b.searches.byFlow[seg.Flow]; searching {
 		s.keep(seg)
 		return
 	}
@@ -222,7 +203,7 @@
 // resetUnrouted resets a flow whose virtual address has no route.
 func (b *Balancer) resetUnrouted(seg state.Segment) {
 	delete(b.flows, seg.Flow)
-	delete(b.searches, seg.Flow)
+	b.searches.remove(seg.Flow)
 	b.queue.Remove(seg.Flow)
 	if seg.Resets {
 		return
@@ -277,13 +258,13 @@
 // Tick handles timeouts and other periodic work. It must be called at least every TickPeriod.
 func (b *Balancer) Tick(now time.Time) {
 	b.updateResponsiveness(now)
-	for _, s := range b.searches {
+	for _, s := range b.searches.byFlow {
 		if !now.Before(s.deadline) {
 			b.handleSearchTimeout(now, s)
 		}
 	}
-	b.updateServiceTimes()
-	b.updateEjections(now)
+	b.targets.updateServiceTimes()
+	b.targets.updateEjections(now)
 	b.placeQueued(now)
 	b.FlushQueries()
 	if !now.Before(b.nextTimeoutCheck) {
@@ -294,16 +275,16 @@
 		return
 	}
 	b.nextSweep = now.Add(sweepInterval)
-	b.compactSearchOrder()
+	b.searches.compact()
 	for id, p := range b.flows {
 		if now.Sub(p.since) > b.settings.FlowTTL {
 			delete(b.flows, id)
 		}
 	}
-	maps.DeleteFunc(b.targets, func(_ netip.AddrPort, t *target) bool {
+	maps.DeleteFunc(b.targets.byAddress, func(_ netip.AddrPort, t *target) bool {
 		return !t.running() && now.Sub(t.changedAt) > b.settings.FlowTTL
 	})
-	b.indexTargets()
+	b.targets.index()
 }
 
 // TickPeriod is the longest time between two calls of Tick.
--- a/core/coord/steer/summary.go
+++ b/core/coord/steer/summary.go
@@ -12,7 +12,7 @@
 // AcceptingTargets returns how many targets can be given a new flow now.
 func (b *Balancer) AcceptingTargets(now time.Time) int {
 	count := 0
-	for _, t := range b.targets {
+	for _, t := range b.targets.byAddress {
 		if t.accepting(now) {
 			count++
 		}
@@ -51,14 +51,14 @@
 func (b *Balancer) Summary(now time.Time) Summary {
 	return Summary{
 		Queues:        b.queue.Counts(now),
-		ActiveVersion: b.config.Version, Flows: len(b.flows), Searches: len(b.searches), Queued: b.queue.Len(), Targets: b.statuses(now),
+		ActiveVersion: b.config.Version, Flows: len(b.flows), Searches: len(b.searches.byFlow), Queued: b.queue.Len(), Targets: b.statuses(now),
 	}
 }
 
 // statuses returns the state of all targets.
 func (b *Balancer) statuses(now time.Time) []TargetStatus {
-	statuses := make([]TargetStatus, 0, len(b.targets))
-	for _, t := range b.targets {
+	statuses := make([]TargetStatus, 0, len(b.targets.byAddress))
+	for _, t := range b.targets.byAddress {
 		statuses = append(statuses, TargetStatus{
 			Address: t.address, Agent: t.id, Service: t.service, Health: t.health, Accepting: t.accepting(now),
 			Load: t.load, ReportAge: relay.AgeOf(now, t.lastReportAt), UnansweredOffers: t.unansweredOffers,
--- a/core/coord/steer/target.go
+++ b/core/coord/steer/target.go
@@ -196,7 +196,7 @@
 
 // handleLoad applies a load report.
 func (b *Balancer) handleLoad(now time.Time, from netip.AddrPort, m relay.Message) {
-	t := b.targets[from]
+	t := b.targets.byAddress[from]
 	if t == nil || t.service.ID() != m.Service {
 		return
 	}
@@ -220,13 +220,13 @@
 	t.load = load
 	t.loadAt = now
 	if failingChanged {
-		b.updateEjections(now)
+		b.targets.updateEjections(now)
 	}
 }
 
 // checkAgentTimeouts logs the agents that have become unresponsive since the last check.
 func (b *Balancer) checkAgentTimeouts(now time.Time) {
-	for _, t := range b.targets {
+	for _, t := range b.targets.byAddress {
 		if !t.timedOut && t.running() && t.unresponsive(now) {
 			t.timedOut = true
 			b.actions.OnDecision(relay.Decision{Event: relay.EventAgentTimedOut, Peer: t.address, Age: relay.AgeOf(now, t.lastReportAt)})
@@ -238,7 +238,7 @@
 // targets of all services. Targets that are down hold no flows.
 func (b *Balancer) possibleHolders(virtual state.Endpoint) []*target {
 	var found []*target
-	for service, targets := range b.targetsByService {
+	for service, targets := range b.targets.byService {
 		if b.config.Version != 0 && !slices.Contains(b.servicesByAddress[virtual], service) {
 			continue
 		}
@@ -254,7 +254,7 @@
 // ProcessPaused compensates for a pause of this process, during which it could receive no load reports: it moves the
 // time of each agent's last report forward by the length of the pause.
 func (b *Balancer) ProcessPaused(gap time.Duration) {
-	for _, t := range b.targets {
+	for _, t := range b.targets.byAddress {
 		if !t.lastReportAt.IsZero() {
 			t.lastReportAt = t.lastReportAt.Add(gap)
 		}
@@ -286,22 +286,7 @@
 
 // updateResponsiveness records whether most agents are unresponsive at present.
 func (b *Balancer) updateResponsiveness(now time.Time) {
-	if !b.halfOfAgentsResponsive(now) {
+	if !b.targets.halfResponsive(now) {
 		b.unresponsiveAt = now
 	}
 }
-
-// halfOfAgentsResponsive reports whether at least half of the running agents are responsive.
-func (b *Balancer) halfOfAgentsResponsive(now time.Time) bool {
-	responsive, total := 0, 0
-	for _, t := range b.targets {
-		if !t.running() {
-			continue
-		}
-		total++
-		if !t.lastHeardAt.IsZero() && !t.unresponsive(now) {
-			responsive++
-		}
-	}
-	return responsive*minResponsiveDenominator >= total*minResponsiveNumerator
-}
