--- a/io/cmds/cmds.go
+++ b/io/cmds/cmds.go
@@ -89,7 +89,7 @@
 		if len(args) == len(names) {
 			return nil
 		}
-		return errs.New(errs.BadInput, "%s expects %d arguments (%v) but got %d; see --help", cmd.CommandPath(), len(names), names, len(args))
+		return errs.New(errs.BadInput, "%s expects the arguments %v; number of arguments given: %d; see --help", cmd.CommandPath(), names, len(args))
 	}
 }
 
--- a/io/node/discovery.go
+++ b/io/node/discovery.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
+
 	"monsoonstep/core/coord/rank"
 	"monsoonstep/core/coord/relay"
 	"monsoonstep/core/errs"
@@ -84,12 +86,11 @@
 func (d *discovery) discover(ctx context.Context) error {
 	delays := newRetryDelays()
 	for ctx.Err() == nil {
-		if err := d.readList(ctx); err != nil && errs.KindOf(err) != errs.NotFound {
-			d.log.Warn("list of balancers could not be read from the store; retrying", "error", errs.Text(err))
-			group.Sleep(ctx, delays.NextBackOff())
-		} else {
-			group.Sleep(ctx, listRereadInterval)
+		listed, err := d.readList(ctx)
+		if err == nil {
+			d.n.runInLoopOrLog(ctx, func(time.Time) { d.n.fleet.addSeeds(listed) })
 		}
+		group.Sleep(ctx, d.delayAfterRead(delays, err))
 		for ctx.Err() == nil && !d.isAlone() {
 			group.Sleep(ctx, listRereadInterval)
 		}
@@ -97,19 +98,26 @@
 	return nil
 }
 
-// readList reads the list and adds the balancers on it to the seeds.
-func (d *discovery) readList(ctx context.Context) error {
+// delayAfterRead returns how long to wait after a read with a result. The delays after failed reads grow until a read succeeds or finds
+// that there is no list.
+func (d *discovery) delayAfterRead(delays backoff.BackOff, err error) time.Duration {
+	if err == nil || errs.KindOf(err) == errs.NotFound {
+		delays.Reset()
+		return listRereadInterval
+	}
+	d.log.Warn("list of balancers could not be read from the store; retrying", "error", errs.Text(err))
+	return delays.NextBackOff()
+}
+
+// readList reads the list.
+func (d *discovery) readList(ctx context.Context) ([]netip.AddrPort, error) {
 	limited, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	raw, _, err := d.directory.Read(limited, true)
 	if err != nil {
-		return err
-	}
-	listed, err := decodeList(raw)
-	if err != nil {
-		return err
+		return nil, err
 	}
-	return d.n.runInLoop(ctx, func(time.Time) { d.n.fleet.addSeeds(listed) })
+	return decodeList(raw)
 }
 
 // publishedList is a list with the era of the store in which it was written.
--- a/io/peers/pool.go
+++ b/io/peers/pool.go
@@ -99,18 +99,6 @@
 	}
 }
 
-// RetainOnly closes the connections to all peers that are not in use.
-func (p *Pool) RetainOnly(used map[netip.AddrPort]bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for to, conn := range p.conns {
-		if !used[to] {
-			_ = conn.Close()
-			delete(p.conns, to)
-		}
-	}
-}
-
 // Snapshot fetches all members and records that a peer knows.
 func (p *Pool) Snapshot(ctx context.Context, from netip.AddrPort) ([]state.Member, []state.Record, error) {
 	conn, err := p.ReadyConn(ctx, from)
