steer: an isolated balancer resets no flows of agents that only it calls dead

Cause: the membership of a balancer whose link carries nothing calls every other node dead within seconds. Targets answer their clients directly, so the flows go on, but the balancer reset those whose packets it still received, and concluded searches for others, once their agents had been silent for 1.5 s. The guard for unresponsive agents did not apply: agents that are called dead are not counted in it. Ruled out: the share of responsive agents as the guard (the dead ones are not counted; counting them would keep the flows of a lost data centre for ever). Change: a balancer that has heard no other node for a second counts as having missed messages, until 2 s after it hears one again; deaths are not believed meanwhile, in searches neither.

--- a/core/coord/steer/search.go
+++ b/core/coord/steer/search.go
@@ -210,7 +210,7 @@
 	var remaining []*target
 	groups := b.targets.candidateGroups(s.segment.Flow, b.possibleHolders(s.segment.Flow.Virtual))
 	for _, t := range slices.Concat(groups...) {
-		if !slices.Contains(s.notFound, t) && !slices.Contains(s.pending, t) && !t.presumedDead(now) && !slices.Contains(s.skipped, t) {
+		if !slices.Contains(s.notFound, t) && !slices.Contains(s.pending, t) && !b.presumedDead(now, t) && !slices.Contains(s.skipped, t) {
 			remaining = append(remaining, t)
 		}
 	}
--- a/core/coord/steer/searchretry.go
+++ b/core/coord/steer/searchretry.go
@@ -47,7 +47,7 @@
 			s.skipped = append(s.skipped, t)
 			return true
 		}
-		return t.presumedDead(now)
+		return b.presumedDead(now, t)
 	})
 	return len(s.pending) < before
 }
--- a/core/coord/steer/steer.go
+++ b/core/coord/steer/steer.go
@@ -71,6 +71,8 @@
 	unresponsiveAt time.Time
 	// messagesDroppedAt is when this balancer last dropped messages from other nodes.
 	messagesDroppedAt time.Time
+	// nodeHeardAt is when the last message of any other node was received; zero if there was none.
+	nodeHeardAt time.Time
 	// evacuations says to which data centres no new flow may be sent.
 	evacuations evacuations
 }
@@ -189,7 +191,7 @@
 // flow of an unresponsive agent if its requests are idempotent: the client can then send them elsewhere.
 func (b *Balancer) handleKnownFlow(now time.Time, route state.Route, seg state.Segment, p *placement) {
 	switch {
-	case p.target.presumedDead(now) && !b.messagesDroppedRecently(now):
+	case b.presumedDead(now, p.target):
 		b.dropFlow(now, seg, p)
 	case route.Idempotent && !seg.Opens && p.target.unresponsive(now) && b.mostAgentsResponsive(now):
 		b.dropFlow(now, seg, p)
--- a/core/coord/steer/target.go
+++ b/core/coord/steer/target.go
@@ -29,9 +29,6 @@
 	// minUnansweredAsks is how many queries and probes an agent must have left without a reply for minUnresponsiveTimeout to count
 	// as unresponsive before its reports are overdue, since datagrams are occasionally lost.
 	minUnansweredAsks = 3
-	// minDroppedMessagesWindow is the least time for which a balancer that dropped messages from other nodes doesn't
-	// treat missing load reports as evidence. It is longer than any report timeout that leads to a reset.
-	minDroppedMessagesWindow = 2 * time.Second
 	// minResponsiveNumerator / minResponsiveDenominator is the fraction of the agents that must be responsive before
 	// one is treated as unresponsive: if fewer are, the fault may be at this balancer.
 	minResponsiveNumerator   = 1
@@ -264,24 +261,16 @@
 		t.askedAt = t.askedAt.Add(gap)
 		t.lastAskedAt = t.lastAskedAt.Add(gap)
 	}
-}
-
-// MessagesDropped records that this node dropped messages from other nodes: load reports of agents that seem
-// unresponsive may have been among them.
-func (b *Balancer) MessagesDropped(now time.Time) { b.messagesDroppedAt = now }
-
-// messagesDroppedRecently reports whether this balancer has dropped messages so recently that missing load reports prove
-// nothing about the agents.
-func (b *Balancer) messagesDroppedRecently(now time.Time) bool {
-	window := max(minDroppedMessagesWindow, unresponsiveIntervals*b.reportInterval())
-	return !b.messagesDroppedAt.IsZero() && now.Sub(b.messagesDroppedAt) < window
+	if !b.nodeHeardAt.IsZero() {
+		b.nodeHeardAt = b.nodeHeardAt.Add(gap)
+	}
 }
 
 // mostAgentsResponsive reports whether enough running agents have been responsive for long enough to conclude that an unresponsive
-// one is itself at fault, and not this balancer. It is false if this balancer has dropped messages recently.
+// one is itself at fault, and not this balancer. It is false if this balancer has missed messages recently.
 func (b *Balancer) mostAgentsResponsive(now time.Time) bool {
 	b.updateResponsiveness(now)
-	return !b.messagesDroppedRecently(now) && now.Sub(b.unresponsiveAt) >= responsiveSettleTime
+	return !b.missedMessages(now) && now.Sub(b.unresponsiveAt) >= responsiveSettleTime
 }
 
 // updateResponsiveness records whether most agents are unresponsive at present.
--- a/core/coord/steer/unresponsive_test.go
+++ b/core/coord/steer/unresponsive_test.go
@@ -270,3 +270,40 @@
 	h.b.HandlePacket(h.now, dataSegment(flow(1)))
 	h.is.Equal(h.resets, []state.FlowID{flow(1)})
 }
+
+// A balancer whose link carries nothing for some seconds hears no other node, and its membership calls all agents dead. They run, and
+// answer their clients: neither the flows that it forwards nor those that it searches for may be reset, also while the held-up messages
+// arrive one after another.
+func TestIsolatedBalancerResetsNoFlows(t *testing.T) {
+	h := newHarness(t)
+	h.b.NodeHeard(h.now)
+	h.settle(1, 2, 3)
+	h.b.NodeHeard(h.now)
+	h.receiveLocation(agent(1), agent(1), flow(1))
+	h.advance(3 * time.Second)
+	members := func(first state.Health) []state.Member {
+		return []state.Member{member(1, service, first), member(2, service, state.HealthDead), member(3, service, state.HealthDead)}
+	}
+	h.b.SetMembers(h.now, members(state.HealthDead))
+	h.b.HandlePacket(h.now, dataSegment(flow(1)))
+	h.b.HandlePacket(h.now, dataSegment(flow(2)))
+	h.advance(time.Second)
+	h.is.Equal(len(h.resets), 0)
+	h.b.NodeHeard(h.now)
+	h.b.HandlePacket(h.now, dataSegment(flow(1)))
+	h.is.Equal(len(h.resets), 0)
+	// Two seconds later the agents that are still silent are dead.
+	h.b.SetMembers(h.now, members(state.HealthAlive))
+	for range 5 {
+		h.advance(500*time.Millisecond, 1)
+		h.b.NodeHeard(h.now)
+	}
+	h.b.SetMembers(h.now, members(state.HealthDead))
+	h.b.HandlePacket(h.now, dataSegment(flow(1)))
+	h.is.Equal(len(h.resets), 0) // agent 1 was heard 0.5 s ago at most
+	h.advance(800 * time.Millisecond)
+	h.b.NodeHeard(h.now)
+	h.advance(900 * time.Millisecond)
+	h.b.HandlePacket(h.now, dataSegment(flow(1)))
+	h.is.Equal(h.resets, []state.FlowID{flow(1)})
+}
--- a/io/node/agent.go
+++ b/io/node/agent.go
@@ -63,6 +63,7 @@
 	n.onTick = a.handleTick
 	n.onPause = a.gate.ProcessPaused
 	n.onMessagesDropped = func(time.Time) {}
+	n.onNodeHeard = func(time.Time) {}
 	n.onMembers = a.members
 	n.onIdle = func() {}
 	if n.evacuation != nil {
--- a/io/node/balancer.go
+++ b/io/node/balancer.go
@@ -62,6 +62,7 @@
 	n.prioritiseNodes = true
 	n.onPause = b.steer.ProcessPaused
 	n.onMessagesDropped = b.steer.MessagesDropped
+	n.onNodeHeard = b.steer.NodeHeard
 	n.onMembers = b.members
 	n.onIdle = b.steer.FlushQueries
 	if n.evacuation != nil {
--- a/io/node/datagrams.go
+++ b/io/node/datagrams.go
@@ -122,6 +122,7 @@
 		n.unreadable.Inc()
 		return
 	}
+	n.onNodeHeard(now)
 	if messageType == hops.TypeGossip {
 		n.handleGossip(now, d.from, packet)
 		return
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -81,6 +81,8 @@
 	onTick   func(now time.Time)
 	// onPause is called after the process was paused, with the length of the pause.
 	onPause func(gap time.Duration)
+	// onNodeHeard is called for each datagram from another node.
+	onNodeHeard func(now time.Time)
 	// onMessagesDropped is called when datagrams from other nodes have been dropped.
 	onMessagesDropped func(now time.Time)
 	// onMembers is called when members have changed.
