steer: a queued flow is refused before its client gives up, not after

Hypothesis: after an outage most flows are first seen by the copy of their opening packet that clients send after 600 ms. They were queued for a second like others, so for 0.2 s after their clients had given up; an offer then takes a slot, for up to 0.1 s at the agent, of a flow that somebody waits for. Change: the time in the queue and the age that the copy's number tells are counted together, up to the client's 1.4 s.

--- a/core/coord/steer/queue.go
+++ b/core/coord/steer/queue.go
@@ -12,6 +12,8 @@
 	// maxQueueTime is how long a new flow is queued for a configuration or a target; clients abandon an opening packet a little
 	// later.
 	maxQueueTime = time.Second
+	// clientConnectTimeout is how long after the first copy of its opening packet a client gives up opening the flow.
+	clientConnectTimeout = 1400 * time.Millisecond
 	// startupWindow is how long after the start of a balancer or an agent targets are expected to appear: agents may
 	// have started together with the balancer, and receive the first heartbeat of their targets within a heartbeat
 	// interval.
@@ -85,13 +87,20 @@
 			headroom[f.Service]--
 			continue
 		}
-		if now.Sub(f.Since) >= maxQueueTime {
+		if queuedTooLong(now, f) {
 			b.queue.Remove(f.Segment.Flow)
 			b.refuseQueued(now, f, f.Reason)
 		}
 	}
 }
 
+// queuedTooLong reports whether a flow has been queued for maxQueueTime, or its client gives up before the next tick. A flow that began
+// while no balancer ran is first seen by a later copy of its opening packet.
+func queuedTooLong(now time.Time, f *queue.Flow) bool {
+	queued := now.Sub(f.Since)
+	return queued >= maxQueueTime || f.Segment.ConnectAge+queued+TickPeriod >= clientConnectTimeout
+}
+
 // placeAtBestTarget offers a queued flow to the best target, and reports whether there is one.
 func (b *Balancer) placeAtBestTarget(now time.Time, f *queue.Flow) bool {
 	t, considered := b.targets.choose(now, f.Route, f.Service, f.Segment.Flow, nil, b.lateQueued(now, f))
