ctrl: a node reads the platform at most 8 s after it is back

Failed reads are repeated with a back-off that grows to 30 s, 45 s with its jitter, so after an outage of 40 s all four nodes of the test may be in pauses of up to 20 s. Not load alone: the wait doesn't depend on it. Change: the back-off grows to 5 s. In a fleet of more than a hundred nodes the poll interval is longer anyway, so the reads of a fleet during an outage stay within those of its normal rate.

--- a/io/ctrl/poll.go
+++ b/io/ctrl/poll.go
@@ -17,8 +17,9 @@
 )
 
 const (
-	// maxPollBackoff is the longest back-off, before jitter, after failed reads of the platform.
-	maxPollBackoff = 30 * time.Second
+	// maxPollBackoff is the longest back-off, before jitter of up to half of it, after failed reads of the platform. An edit made right
+	// after an outage has to be in force within 11 s. In a fleet of more than a hundred nodes the poll interval is longer.
+	maxPollBackoff = 5 * time.Second
 	joinInterval   = 500 * time.Millisecond
 	// joinTimeout is how long a starting node tries to find other members and to fetch a snapshot from one of them. After
 	// that it joins as the first member, or without a snapshot, once it has read the platform.
@@ -35,9 +36,7 @@
 // makes a fixed number of reads per second; gossip spreads the changes that one node reads to the others.
 func (n *Node) poll(ctx context.Context) error {
 	var cursor state.Revision
-	retry := backoff.NewExponentialBackOff()
-	retry.InitialInterval = n.settings.Platform.MinPollPeriod
-	retry.MaxInterval = maxPollBackoff
+	retry := newPollBackoff(n.settings.Platform.MinPollPeriod)
 	for {
 		n.metrics.polls.Inc()
 		records, revision, err := n.store.ChangedSince(ctx, cursor)
@@ -64,6 +63,14 @@
 	}
 }
 
+// newPollBackoff returns the delays after failed reads of the platform.
+func newPollBackoff(first time.Duration) *backoff.ExponentialBackOff {
+	retry := backoff.NewExponentialBackOff()
+	retry.InitialInterval = first
+	retry.MaxInterval = maxPollBackoff
+	return retry
+}
+
 // mergePolled passes records that were read from the platform to the machine. The first read returns all records, which the
 // other members have already, so they are not spread again.
 func (n *Node) mergePolled(ctx context.Context, records []state.Record, first bool) {
