--- a/core/coord/relay/decision.go
+++ b/core/coord/relay/decision.go
@@ -49,7 +49,7 @@
 	EventAgentRecovered
 	// EventQueued: a balancer queued a new flow that can't be placed yet.
 	EventQueued
-	// EventTargetFailing: an agent ejected its target, which fails requests.
+	// EventTargetFailing: an agent ejected its target, which fails requests, or a balancer ejected one that answers implausibly fast.
 	EventTargetFailing
 	// EventSearchDropped: a balancer dropped its oldest search because there were too many.
 	EventSearchDropped
--- a/core/coord/steer/choose_test.go
+++ b/core/coord/steer/choose_test.go
@@ -306,3 +306,34 @@
 	h.advancePastMaxQueueTime()
 	h.is.Equal(len(h.resets), 0)
 }
+
+// Operators have to see why a target that says that it is well gets no new flows: the log has one line for each ejection.
+func TestEjectionOfAnImplausiblyFastTargetIsLoggedOnce(t *testing.T) {
+	h := newHarness(t)
+	h.members(1, 2, 3, 4)
+	report := func(took time.Duration, targets ...byte) {
+		for _, n := range targets {
+			h.report(n, relay.Load{
+				Accepting: true, Headroom: 4, Slots: 4, ReportInterval: time.Second, ServiceTime: took, ServiceSamples: 10,
+			})
+		}
+		h.b.Tick(h.now)
+	}
+	ejected := func() int {
+		count := 0
+		for _, d := range h.decisions {
+			if d.Event == relay.EventTargetFailing && d.Peer == agent(1) {
+				count++
+			}
+		}
+		return count
+	}
+	report(30*time.Millisecond, 1, 2, 3, 4)
+	h.is.Equal(ejected(), 0)
+	report(2*time.Millisecond, 1)
+	report(2*time.Millisecond, 1)
+	h.is.Equal(ejected(), 1)
+	report(10*time.Millisecond, 1)
+	report(2*time.Millisecond, 1)
+	h.is.Equal(ejected(), 2)
+}
--- a/core/coord/steer/steer.go
+++ b/core/coord/steer/steer.go
@@ -266,7 +266,7 @@
 		}
 	}
 	b.targets.updateServiceTimes()
-	b.targets.updateEjections(now)
+	b.updateEjections(now)
 	b.placeQueued(now)
 	b.FlushQueries()
 	if !now.Before(b.nextTimeoutCheck) {
--- a/core/coord/steer/target.go
+++ b/core/coord/steer/target.go
@@ -217,7 +217,7 @@
 	t.load = load
 	t.loadAt = now
 	if failingChanged {
-		b.targets.updateEjections(now)
+		b.updateEjections(now)
 	}
 }
 
