--- a/core/coord/steer/steer.go
+++ b/core/coord/steer/steer.go
@@ -69,7 +69,7 @@
 	nextTimeoutCheck   time.Time
 	// unresponsiveAt is when most agents were last unresponsive; zero if they never were.
 	unresponsiveAt time.Time
-	// messagesDroppedAt is when this balancer last dropped messages from other nodes.
+	// messagesDroppedAt is when this balancer last dropped messages from other nodes, or was isolated.
 	messagesDroppedAt time.Time
 	// nodeHeardAt is when the last message of any other node was received; zero if there was none.
 	nodeHeardAt time.Time
