--- a/core/coord/steer/choose_test.go
+++ b/core/coord/steer/choose_test.go
@@ -116,15 +116,22 @@
 	h.is.Equal(len(h.resets), 2)
 }
 
-// After an outage most flows are first seen by the last copy of their opening packet, which clients send after 600 ms. Guards against
-// offers of flows whose clients have given up after 1.4 s: they take slots of others.
-func TestQueuedFlowIsRefusedBeforeItsClientGivesUp(t *testing.T) {
+// newHarnessWithQueuedCopy returns a harness with one full target, for which flow 1 is queued, first seen by the last copy of its opening
+// packet, and then flow 2, which begins now.
+func newHarnessWithQueuedCopy(t *testing.T) *harness {
 	h := newHarnessWithOneTarget(t)
 	h.report(1, relay.Load{Accepting: true, Headroom: 0, Slots: 4, ReportInterval: time.Second})
 	old := openingSegment(flow(1), 2)
 	old.ConnectAge = 600 * time.Millisecond
 	h.b.HandlePacket(h.now, old)
 	h.b.HandlePacket(h.now, openingSegment(flow(2), 0))
+	return h
+}
+
+// After an outage most flows are first seen by the last copy of their opening packet, which clients send after 600 ms. Guards against
+// offers of flows whose clients have given up after 1.4 s: they take slots of others.
+func TestQueuedFlowIsRefusedBeforeItsClientGivesUp(t *testing.T) {
+	h := newHarnessWithQueuedCopy(t)
 	h.now = h.now.Add(700 * time.Millisecond)
 	h.b.Tick(h.now)
 	h.is.Equal(len(h.resets), 0)
@@ -136,12 +143,7 @@
 // After an outage of one second the first packets are retransmissions of opening packets that were sent during the
 // outage. Those flows are late already; flows that begin now are not, and must be placed first.
 func TestNewFlowGoesBeforeLateRetransmission(t *testing.T) {
-	h := newHarnessWithOneTarget(t)
-	h.report(1, relay.Load{Accepting: true, Headroom: 0, Slots: 4, ReportInterval: time.Second})
-	old := openingSegment(flow(1), 2)
-	old.ConnectAge = 600 * time.Millisecond
-	h.b.HandlePacket(h.now, old)
-	h.b.HandlePacket(h.now, openingSegment(flow(2), 0))
+	h := newHarnessWithQueuedCopy(t)
 	h.report(1, relay.Load{Accepting: true, Headroom: 1, Slots: 4, ReportInterval: time.Second})
 	offered, _ := h.last(relay.KindOpen)
 	h.is.Equal(offered.Flow, flow(2))
