--- a/review/stand/endpoint.go
+++ b/review/stand/endpoint.go
@@ -264,30 +264,38 @@
 }
 
 func (e *endpoint) beat() {
+	body, draining := e.nextBeat()
+	if !e.call(e.ctx, "heartbeat", body) || !draining {
+		return
+	}
+	e.acked.Do(func() {
+		e.world.record.line("the agent of %s acknowledged that it is draining", e.id)
+		close(e.drainAcked)
+	})
+}
+
+// nextBeat returns the body of the next heartbeat, and whether it says that the endpoint is draining.
+func (e *endpoint) nextBeat() ([]byte, bool) {
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	e.beats++
-	draining := e.draining
 	name := "ready"
-	if draining {
+	if e.draining {
 		name = "draining"
 	}
 	body, err := json.Marshal(map[string]any{
 		"service": e.service, "address": e.world.address(e.machine.ip, appPort).String(), "zone": zoneName, "version": "v1",
 		"slots": slots, "state": name, "warmupLeftMs": 0, "seq": e.beats, "born": e.born.UnixMilli(),
 	})
-	e.mu.Unlock()
-	if err != nil || !e.call("heartbeat", body) || !draining {
-		return
+	if err != nil {
+		panic(err)
 	}
-	e.acked.Do(func() {
-		e.world.record.line("the agent of %s acknowledged that it is draining", e.id)
-		close(e.drainAcked)
-	})
+	return body, e.draining
 }
 
 // call makes a call to the agent and reports whether it was acknowledged.
-func (e *endpoint) call(name string, body []byte) bool {
-	ctx, cancel := context.WithTimeout(e.ctx, heartbeatLimit)
+func (e *endpoint) call(parent context.Context, name string, body []byte) bool {
+	ctx, cancel := context.WithTimeout(parent, heartbeatLimit)
 	defer cancel()
 	url := fmt.Sprintf("http://%s/instances/%s/%s", e.world.address(e.machine.ip, controlPort), e.id, name)
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
@@ -318,7 +326,7 @@
 	e.mu.Lock()
 	e.left = true
 	e.mu.Unlock()
-	e.call("deregister", []byte(fmt.Sprintf(`{"born":%d}`, e.born.UnixMilli())))
+	e.call(e.ctx, "deregister", []byte(fmt.Sprintf(`{"born":%d}`, e.born.UnixMilli())))
 	e.cancel()
 	e.world.record.line("endpoint %s has deregistered and exits", e.id)
 }
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -26,11 +26,12 @@
 type scenario func(w *world, trouble bool) (int, error)
 
 var scenarios = map[string]scenario{
-	"frozen-offer": frozenOffer,
-	"lone-watcher": loneWatcher,
-	"moved-route":  movedRoute,
-	"new-balancer": newBalancer,
-	"silent-store": silentStore,
+	"frozen-offer":   frozenOffer,
+	"lone-watcher":   loneWatcher,
+	"moved-route":    movedRoute,
+	"late-heartbeat": lateHeartbeat,
+	"new-balancer":   newBalancer,
+	"silent-store":   silentStore,
 }
 
 func main() { os.Exit(run()) }
