--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -50,6 +50,9 @@
 	// answeredBy is the endpoint that answered last, after its service.
 	answeredBy string
 	synsSent   int
+	// lastPacket is when the last packet passed before the latest request; idle is how long there was none then.
+	lastPacket time.Time
+	idle       time.Duration
 	request    *request
 }
 
@@ -112,6 +115,9 @@
 	r.packet = packet{flags: flagAck, src: f.key.client, dst: f.key.virtual, seq: f.next, ack: f.ack, data: []byte(text)}
 	f.next += uint32(len(text))
 	f.request = r
+	if !f.lastPacket.IsZero() {
+		f.idle = time.Since(f.lastPacket)
+	}
 	f.client.world.record.line("client sends request %s on %s", id, f.key)
 	f.client.advance(time.Now(), f)
 	return r
@@ -172,6 +178,7 @@
 
 // transmit sends a packet through a balancer; the caller holds mu.
 func (f *flow) transmit(p packet) {
+	f.lastPacket = time.Now()
 	to := f.direct
 	if to == nil {
 		to = f.client.world.route(f.key)
@@ -294,6 +301,13 @@
 	}
 }
 
+// idleBefore returns how long the flow was idle before its latest request.
+func (f *flow) idleBefore() time.Duration {
+	f.client.mu.Lock()
+	defer f.client.mu.Unlock()
+	return f.idle
+}
+
 // reset returns the instance whose reset ended the flow; empty if there was none.
 func (f *flow) reset() string {
 	f.client.mu.Lock()
--- a/review/stand/frozenoffer.go
+++ b/review/stand/frozenoffer.go
@@ -36,7 +36,10 @@
 	}
 	time.Sleep(time.Until(frozenAt.Add(freezeTime + contact)))
 	for n, f := range flows {
-		if f.send(fmt.Sprintf("b-%d", n)).wait(5*time.Second) == "" {
+		f.send(fmt.Sprintf("b-%d", n))
+	}
+	for _, f := range flows {
+		if f.request.wait(5*time.Second) == "" {
 			return 0, errors.New("an open flow was not served after the freeze")
 		}
 	}
--- a/review/stand/movedroute.go
+++ b/review/stand/movedroute.go
@@ -64,9 +64,10 @@
 		answer := f.request.wait(5 * time.Second)
 		holder, resetBy, age := d.holderOf(f), f.reset(), time.Since(f.startedAt)
 		switch {
-		case resetBy != "" && holder != "" && age < flowTTL:
+		case resetBy != "" && holder != "" && age < flowTTL && f.idleBefore() < idleTimeout:
 			breaks++
-			d.world.record.line("BROKEN: FLOW: %s was reset by %s, and endpoint %s still holds it; it is %.1f s old", f.key, resetBy, holder, age.Seconds())
+			d.world.record.line("BROKEN: FLOW: %s was reset by %s, and endpoint %s still holds it; it is %.1f s old and was idle for %.1f s", f.key, resetBy, holder,
+				age.Seconds(), f.idleBefore().Seconds())
 		case answer == "":
 			d.world.record.line("no answer on %s: %s, held by %q", f.key, f.state(), holder)
 		}
