steer: a search asks all services while the history of routes is incomplete

A route was moved, then all processes were restarted as planned; 8 of 8 flows that had stayed at the former service were reset although their targets held them.

Cause: a search asks only the agents of the services to which the flow's address has been routed, as far as this process has had configurations. A process that starts has only the newest one and took its list for complete, so concludeNotFound reset flows whose agents were never asked.

Ruled out: the former agents denied the flow (count would be 3); they counted as dead or without target (unasked counts running agents only, no targetGone); a wrong location at an owner (the agents were searched).

Change: steer.routeHistory is incomplete for the TTL of flows and 30 s after the first configuration. Until then a search that has found nothing at the services of the route asks the agents of all others before it resets. Those are asked last, so a flow that the route's own targets hold costs nothing more.

Related paths: a service whose weight was set to 0 (decodeConfig leaves it out): the same cause, fixed here, test of its own. An added balancer: the same code, fixed here. Owners' replies to lookups: from what agents reported, not from routes; nothing found. Agents' replies to queries and probes: they compare the service of the balancer's record of them, not of the route; nothing found. Before the first configuration: all services were asked already.

Cost: store calls 0, bytes of messages 0, state one time per balancer. For 90 s after a start a flow that is lost or at a former service costs one query or probe to each agent of the other services.

--- a/core/coord/relay/decision.go
+++ b/core/coord/relay/decision.go
@@ -86,6 +86,8 @@
 	// Count is a number whose meaning depends on the event: targets considered, targets that don't hold the flow, agents that have
 	// not replied, flows in the queue, or open flows.
 	Count int
+	// Unasked is how many running agents a search left out, since their targets were taken not to hold the flow, for an EventReset.
+	Unasked int
 }
 
 // AgeOf returns the age of information that was received at a time, or zero if none was received yet.
--- a/core/coord/steer/bench_test.go
+++ b/core/coord/steer/bench_test.go
@@ -27,7 +27,7 @@
 		Reset:      func(state.FlowID, uint32) {},
 		OnDecision: func(relay.Decision) {},
 	})
-	b.Configure(config(1, service))
+	b.Configure(start, config(1, service))
 	var members []state.Member
 	for n := range agents {
 		m := member(byte(n), service, state.HealthAlive)
--- a/core/coord/steer/choose_test.go
+++ b/core/coord/steer/choose_test.go
@@ -44,7 +44,7 @@
 	h.b.HandlePacket(h.now, openingSegment(flow(1), 0))
 	h.is.Equal(h.count(relay.KindOpen), 0)
 	h.is.Equal(len(h.resets), 0)
-	h.b.Configure(config(1, service))
+	h.b.Configure(h.now, config(1, service))
 	h.advance(steer.TickPeriod, 1)
 	h.is.Equal(h.count(relay.KindOpen), 1)
 
@@ -89,7 +89,7 @@
 // newHarnessWithOneTarget returns a harness with one agent and a route whose latency objective is 250 ms.
 func newHarnessWithOneTarget(t *testing.T) *harness {
 	h := newHarness(t)
-	h.b.Configure(configWith(func(r *state.Route) { r.LatencyObjective = 250 * time.Millisecond }))
+	h.b.Configure(h.now, configWith(func(r *state.Route) { r.LatencyObjective = 250 * time.Millisecond }))
 	h.members(1)
 	return h
 }
@@ -258,7 +258,7 @@
 // newHarnessWithQueuedFlow returns a harness whose only target is full, with one flow queued.
 func newHarnessWithQueuedFlow(t *testing.T) *harness {
 	h := newHarness(t)
-	h.b.Configure(config(1, service))
+	h.b.Configure(h.now, config(1, service))
 	h.members(1)
 	h.report(1, relay.Load{Accepting: true, Headroom: 0, Slots: 4, ReportInterval: time.Minute})
 	h.b.HandlePacket(h.now, openingSegment(flow(1), 0))
@@ -297,7 +297,7 @@
 // in time, its client must not be reset.
 func TestQueuedFlowWithUnansweredOfferIsNotReset(t *testing.T) {
 	h := newHarness(t)
-	h.b.Configure(config(1, service))
+	h.b.Configure(h.now, config(1, service))
 	h.members(1)
 	h.report(1, relay.Load{Accepting: true, Headroom: 4, Slots: 4, ReportInterval: time.Minute})
 	h.b.HandlePacket(h.now, openingSegment(flow(1), 0))
--- a/core/coord/steer/cluster_test.go
+++ b/core/coord/steer/cluster_test.go
@@ -157,7 +157,7 @@
 		r.LatencyObjective = objective
 	})
 	routes.Services = map[state.ServiceName]state.ServiceLimits{service: {WarmupRate: c.warmupRate}}
-	c.balancer.Configure(routes)
+	c.balancer.Configure(c.now, routes)
 	c.balancer.SetMembers(c.now, members)
 	c.balancer.SetBalancers([]netip.AddrPort{self})
 }
--- a/core/coord/steer/evacuation_test.go
+++ b/core/coord/steer/evacuation_test.go
@@ -15,7 +15,7 @@
 	h := newHarnessWith(t, steer.Settings{Self: self, DataCentre: "a", FlowTTL: flowTTL, Evacuation: true})
 	second := member(2, service, state.HealthAlive)
 	second.DataCentre = "b"
-	h.b.Configure(config(1, service))
+	h.b.Configure(h.now, config(1, service))
 	h.b.SetMembers(h.now, []state.Member{member(1, service, state.HealthAlive), second})
 	h.b.SetEvacuations(nil)
 	h.advance(3*time.Second, 1, 2)
@@ -103,7 +103,7 @@
 // All instances have returned from a loss of power, and the agents of the evacuated data centre are discovered first.
 func TestFlowsWaitForOtherDataCentresAfterTheStart(t *testing.T) {
 	h := newHarnessWith(t, steer.Settings{Self: self, DataCentre: "a", FlowTTL: flowTTL, Evacuation: true})
-	h.b.Configure(config(1, service))
+	h.b.Configure(h.now, config(1, service))
 	h.b.SetEvacuations([]state.DataCentre{"a"})
 	h.members(1)
 	h.advance(100*time.Millisecond, 1)
--- a/core/coord/steer/regions_test.go
+++ b/core/coord/steer/regions_test.go
@@ -11,7 +11,7 @@
 // newRegionHarness returns a harness with agents 1 and 2 in region x and agent 3 in region y, and a route that allows some regions.
 func newRegionHarness(t *testing.T, allowed ...state.Region) *harness {
 	h := newHarness(t)
-	h.b.Configure(configWith(func(r *state.Route) { r.Regions = allowed }))
+	h.b.Configure(h.now, configWith(func(r *state.Route) { r.Regions = allowed }))
 	h.membersIn("x", "x", "y")
 	h.now = h.now.Add(5 * time.Second)
 	for n := byte(1); n <= 3; n++ {
@@ -74,7 +74,7 @@
 	h.is.Equal(len(h.resets), 0)
 	restricted := configWith(func(r *state.Route) { r.Regions = []state.Region{"z"} })
 	restricted.Version = 2
-	h.b.Configure(restricted)
+	h.b.Configure(h.now, restricted)
 	h.b.Tick(h.now)
 	h.is.Equal(h.resets, []state.FlowID{flow(1)})
 	h.is.Equal(h.decisions[len(h.decisions)-1].Reason, relay.ReasonNoHome)
@@ -85,7 +85,7 @@
 	h := newHarness(t)
 	c := config(1, service)
 	c.Services = map[state.ServiceName]state.ServiceLimits{service: {WarmupRate: 4.5}}
-	h.b.Configure(c)
+	h.b.Configure(h.now, c)
 	h.members(1)
 	h.report(1, relay.Load{Accepting: true, Headroom: 9, Slots: 4, ReportInterval: time.Second})
 	h.b.HandlePacket(h.now, openingSegment(flow(1), 0))
--- /dev/null
+++ b/core/coord/steer/routehistory_test.go
@@ -0,0 +1,112 @@
+package steer_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"monsoonstep/core/coord/relay"
+	"monsoonstep/core/state"
+)
+
+// The agents of a fleet whose route was moved from service to other.
+const (
+	formerAgent  = 1
+	currentAgent = 2
+)
+
+// historyTTL is longer than any flow can be open that was placed by a configuration from before the balancer's first one.
+const historyTTL = flowTTL + time.Minute
+
+// newHarnessAfterMove returns a harness whose balancer has started after the route was moved, so that it has only the present
+// configuration.
+func newHarnessAfterMove(t *testing.T) *harness {
+	h := newHarness(t)
+	h.b.Configure(h.now, config(8, other))
+	h.bothServices()
+	h.advanceBothServices(3 * time.Second)
+	h.clear()
+	return h
+}
+
+// bothServices sets the membership to an agent of each service.
+func (h *harness) bothServices() {
+	h.b.SetMembers(h.now, []state.Member{member(formerAgent, service, state.HealthAlive), member(currentAgent, other, state.HealthAlive)})
+}
+
+// advanceBothServices advances the clock while the agents of both services report that their targets are idle.
+func (h *harness) advanceBothServices(d time.Duration) {
+	for end := h.now.Add(d); h.now.Before(end); {
+		h.advance(100*time.Millisecond, formerAgent)
+		h.b.HandleMessage(h.now, agent(currentAgent), relay.Message{
+			Kind: relay.KindLoad, HasLoad: true, Service: other.ID(),
+			Load: relay.Load{Accepting: true, Headroom: 40, Slots: 4, ReportInterval: 200 * time.Millisecond},
+		}, state.Segment{})
+	}
+}
+
+// asked returns the agents that the balancer has probed.
+func (h *harness) asked() []netip.AddrPort {
+	var asked []netip.AddrPort
+	for _, s := range h.sent {
+		if s.Kind == relay.KindProbe {
+			asked = append(asked, s.to)
+		}
+	}
+	return asked
+}
+
+// A route was moved and then all processes were restarted: no balancer knows the former service any more, and the agents know only the
+// flows whose packets have passed since. The flows that stayed at the former service were reset.
+func TestFlowOfAFormerServiceIsFoundByARestartedBalancer(t *testing.T) {
+	h := newHarnessAfterMove(t)
+	h.b.HandlePacket(h.now, dataSegment(flow(1)))
+	h.is.Equal(h.asked(), []netip.AddrPort{agent(currentAgent)}) // the service of the route is asked first
+	h.receiveNotFound(agent(currentAgent), flow(1), noPacket)
+	h.is.Equal(len(h.resets), 0)
+	h.is.Equal(h.asked(), []netip.AddrPort{agent(currentAgent), agent(formerAgent)})
+	h.receiveLocation(agent(formerAgent), agent(formerAgent), flow(1))
+	h.b.HandlePacket(h.now, dataSegment(flow(1)))
+	forwarded, ok := h.last(relay.KindData)
+	h.is.True(ok)
+	h.is.Equal(forwarded.to, agent(formerAgent))
+	h.is.Equal(len(h.resets), 0)
+}
+
+// A flow that no target holds is reset as soon as the agents of all services have said so, or its client would wait for its timeout.
+func TestFlowThatNoServiceHoldsIsResetByARestartedBalancer(t *testing.T) {
+	h := newHarnessAfterMove(t)
+	h.b.HandlePacket(h.now, dataSegment(flow(1)))
+	h.receiveNotFound(agent(currentAgent), flow(1), noPacket)
+	h.receiveNotFound(agent(formerAgent), flow(1), noPacket)
+	h.is.Equal(h.resets, []state.FlowID{flow(1)})
+}
+
+// The agents of other services are asked only while a flow may be open that an unknown configuration placed there. Otherwise each lost
+// flow would cost a message to every agent of the fleet.
+func TestOtherServicesAreNotAskedOnceAllFormerFlowsHaveExpired(t *testing.T) {
+	h := newHarnessAfterMove(t)
+	h.advanceBothServices(historyTTL)
+	h.clear()
+	h.b.HandlePacket(h.now, dataSegment(flow(1)))
+	h.receiveNotFound(agent(currentAgent), flow(1), noPacket)
+	h.is.Equal(h.asked(), []netip.AddrPort{agent(currentAgent)})
+	h.is.Equal(h.resets, []state.FlowID{flow(1)})
+}
+
+// A flow may be open at a service whose weight in the route was set to zero before the balancer started.
+func TestFlowOfAServiceWithoutWeightIsFoundByARestartedBalancer(t *testing.T) {
+	h := newHarness(t)
+	c := config(8, other)
+	route := c.Routes[virtual]
+	route.Services = append(route.Services, state.WeightedService{Service: "third", Weight: 1})
+	c.Routes[virtual] = route
+	h.b.Configure(h.now, c)
+	h.bothServices()
+	h.advanceBothServices(3 * time.Second)
+	h.b.HandlePacket(h.now, dataSegment(flow(1)))
+	h.receiveNotFound(agent(currentAgent), flow(1), noPacket)
+	h.receiveLocation(agent(formerAgent), agent(formerAgent), flow(1))
+	h.is.Equal(len(h.resets), 0)
+	h.is.Equal(h.count(relay.KindData), 0) // the probe has delivered the packet
+}
--- a/core/coord/steer/search.go
+++ b/core/coord/steer/search.go
@@ -205,16 +205,28 @@
 }
 
 // remainingTargets returns the targets that may hold the flow and have not been asked, in the order in which they are
-// considered for it: it is most likely at the target where it would be placed today.
+// considered for it: it is most likely at the target where it would be placed today. The targets of services to which the
+// address may have been routed before this balancer knew of it follow only after all others were asked.
 func (b *Balancer) remainingTargets(now time.Time, s *search) []*target {
-	var remaining []*target
-	groups := b.targets.candidateGroups(s.segment.Flow, b.possibleHolders(s.segment.Flow.Virtual))
+	known, unknown := b.possibleHolders(now, s.segment.Flow.Virtual)
+	remaining := b.unaskedTargets(now, s, known)
+	if len(remaining) == 0 {
+		remaining = b.unaskedTargets(now, s, unknown)
+	}
+	return remaining
+}
+
+// unaskedTargets returns those of some targets that have not been asked in a search, in the order in which they are considered for its
+// flow.
+func (b *Balancer) unaskedTargets(now time.Time, s *search, targets []*target) []*target {
+	var unasked []*target
+	groups := b.targets.candidateGroups(s.segment.Flow, targets)
 	for _, t := range slices.Concat(groups...) {
 		if !slices.Contains(s.notFound, t) && !slices.Contains(s.pending, t) && !b.presumedDead(now, t) && !slices.Contains(s.skipped, t) {
-			remaining = append(remaining, t)
+			unasked = append(unasked, t)
 		}
 	}
-	return remaining
+	return unasked
 }
 
 // placeSearched places a new flow that no owner knows.
@@ -240,7 +252,23 @@
 		return
 	}
 	b.searches.remove(s.segment.Flow)
-	b.reset(s.segment, relay.Decision{Age: now.Sub(s.since), Count: len(s.notFound)})
+	b.reset(s.segment, relay.Decision{Age: now.Sub(s.since), Count: len(s.notFound), Unasked: b.countUnasked(s)})
+}
+
+// countUnasked returns how many running agents were not asked in a search that ends.
+func (b *Balancer) countUnasked(s *search) int {
+	count := 0
+	for _, t := range b.targets.byAddress {
+		if t.running() {
+			count++
+		}
+	}
+	for _, t := range s.notFound {
+		if t.running() {
+			count--
+		}
+	}
+	return count
 }
 
 // unresolvedReason returns why the flow may have a holder although no known agent has it; ReasonNone if there is none.
@@ -260,7 +288,7 @@
 // knowsAgents reports whether any agent is known whose target may serve an address. If there is none, it is this
 // balancer's list of agents that was lost, and not the flow.
 func (b *Balancer) knowsAgents(virtual state.Endpoint) bool {
-	for _, service := range b.servicesByAddress[virtual] {
+	for _, service := range b.routeHistory.services[virtual] {
 		if len(b.targets.byService[service]) > 0 {
 			return true
 		}
--- a/core/coord/steer/search_test.go
+++ b/core/coord/steer/search_test.go
@@ -95,7 +95,7 @@
 // only known agent does not hold.
 func newHarnessWithUnresolvedSearch(t *testing.T) *harness {
 	h := newHarness(t)
-	h.b.Configure(config(1, service))
+	h.b.Configure(h.now, config(1, service))
 	h.members(1)
 	h.report(1, relay.Load{Accepting: true, Headroom: 40, ReportInterval: time.Second})
 	h.b.HandlePacket(h.now, dataSegment(flow(1)))
@@ -156,7 +156,7 @@
 // load report. Flows that no other agent holds must not be kept open waiting for it.
 func TestSearchDoesNotWaitForAgentWithoutLoadReport(t *testing.T) {
 	h := newHarness(t)
-	h.b.Configure(configWith(func(r *state.Route) { r.Idempotent = true }))
+	h.b.Configure(h.now, configWith(func(r *state.Route) { r.Idempotent = true }))
 	h.members(1, 2, 3, 4)
 	h.advance(1500*time.Millisecond, 1, 2, 3)
 	h.b.HandlePacket(h.now, dataSegment(flow(1)))
@@ -189,7 +189,7 @@
 // All balancers lost power, but the agents did not. Until the agents are known, no flow may be reset.
 func TestNoResetWithoutAnyKnownAgent(t *testing.T) {
 	h := newHarness(t)
-	h.b.Configure(config(1, service))
+	h.b.Configure(h.now, config(1, service))
 	h.advance(3 * time.Second)
 	h.b.HandlePacket(h.now, dataSegment(flow(1)))
 	h.advance(2 * time.Second)
@@ -205,7 +205,7 @@
 // limit on probes allows: it would never be sent. A flow at the last agent is found all the same.
 func TestSearchAmongManyAgentsReachesTheLastOne(t *testing.T) {
 	h := newHarness(t)
-	h.b.Configure(config(1, service))
+	h.b.Configure(h.now, config(1, service))
 	const agents = 1000
 	var list []state.Member
 	for i := range agents {
--- a/core/coord/steer/searchretry_test.go
+++ b/core/coord/steer/searchretry_test.go
@@ -19,7 +19,7 @@
 // and never reply. Lost flows must not wait until the membership declares them dead.
 func TestLostFlowIsResetWithoutReplyOfAgentsThatVanish(t *testing.T) {
 	h := newHarness(t)
-	h.b.Configure(config(1, service))
+	h.b.Configure(h.now, config(1, service))
 	h.b.SetMembers(h.now, []state.Member{member(1, service, state.HealthAlive), emptyMember(2), emptyMember(3)})
 	h.advance(time.Second, 1)
 	h.b.HandlePacket(h.now, dataSegment(flow(1)))
@@ -30,7 +30,7 @@
 // An agent that has got a target since its announcement may hold flows, and its load report says so before the membership does.
 func TestAgentThatReportsATargetIsAskedAlthoughItsAnnouncementIsOlder(t *testing.T) {
 	h := newHarness(t)
-	h.b.Configure(config(1, service))
+	h.b.Configure(h.now, config(1, service))
 	h.b.SetMembers(h.now, []state.Member{member(1, service, state.HealthAlive), emptyMember(2)})
 	h.advance(time.Second, 1, 2)
 	h.b.HandlePacket(h.now, dataSegment(flow(1)))
--- a/core/coord/steer/steer.go
+++ b/core/coord/steer/steer.go
@@ -15,7 +15,6 @@
 import (
 	"maps"
 	"net/netip"
-	"slices"
 	"time"
 
 	"monsoonstep/core/coord/queue"
@@ -49,9 +48,8 @@
 	settings Settings
 	actions  Actions
 	config   state.Config
-	// servicesByAddress has, for each address with a route, every service that any configuration so far has routed it
-	// to: open flows stay at their targets when a route changes.
-	servicesByAddress map[state.Endpoint][]state.ServiceName
+	// routeHistory tells which services may have flows of an address open.
+	routeHistory routeHistory
 	// targets holds the targets, their load, and the choice between them.
 	targets *targetSet
 	// flows holds the placement of each flow that this balancer forwards or owns.
@@ -97,37 +95,30 @@
 // New returns a balancer that starts at the given time.
 func New(now time.Time, settings Settings, actions Actions) *Balancer {
 	b := &Balancer{
-		settings:          settings,
-		actions:           actions,
-		servicesByAddress: make(map[state.Endpoint][]state.ServiceName),
-		targets:           newTargetSet(settings.DataCentre),
-		flows:             make(map[state.FlowID]*placement),
-		searches:          newSearches(now),
-		started:           now,
-		evacuations:       evacuations{pending: settings.Evacuation},
+		settings:     settings,
+		actions:      actions,
+		routeHistory: newRouteHistory(settings.FlowTTL),
+		targets:      newTargetSet(settings.DataCentre),
+		flows:        make(map[state.FlowID]*placement),
+		searches:     newSearches(now),
+		started:      now,
+		evacuations:  evacuations{pending: settings.Evacuation},
 	}
 	b.queue = queue.New(func(service state.ServiceName) time.Duration { return b.targets.serviceTimes[service] })
 	return b
 }
 
 // Configure applies a configuration if it is newer than the present one, and reports whether it was.
-func (b *Balancer) Configure(c state.Config) bool {
+func (b *Balancer) Configure(now time.Time, c state.Config) bool {
 	if c.Version <= b.config.Version {
 		return false
 	}
+	if b.config.Version == 0 {
+		b.routeHistory.missed(now)
+	}
 	b.config = c
 	b.queue.Configure(c)
-	maps.DeleteFunc(b.servicesByAddress, func(endpoint state.Endpoint, _ []state.ServiceName) bool {
-		_, routed := c.Routes[endpoint]
-		return !routed
-	})
-	for endpoint, route := range c.Routes {
-		for _, weighted := range route.Services {
-			if !slices.Contains(b.servicesByAddress[endpoint], weighted.Service) {
-				b.servicesByAddress[endpoint] = append(b.servicesByAddress[endpoint], weighted.Service)
-			}
-		}
-	}
+	b.routeHistory.add(c.Routes)
 	return true
 }
 
--- a/core/coord/steer/steer_test.go
+++ b/core/coord/steer/steer_test.go
@@ -93,7 +93,7 @@
 // settle gives the balancer a configuration, agents that send load reports, and enough time for its list of agents to
 // count as complete.
 func (h *harness) settle(agents ...byte) {
-	h.b.Configure(config(1, service))
+	h.b.Configure(h.now, config(1, service))
 	h.members(agents...)
 	h.advance(3*time.Second, agents...)
 	h.clear()
@@ -208,7 +208,7 @@
 	h := newHarness(t)
 	h.settle(1)
 	h.receiveLocation(agent(1), agent(1), flow(1))
-	h.b.Configure(state.Config{Version: 5, Routes: map[state.Endpoint]state.Route{}})
+	h.b.Configure(h.now, state.Config{Version: 5, Routes: map[state.Endpoint]state.Route{}})
 	h.b.HandlePacket(h.now, dataSegment(flow(1)))
 	h.is.Equal(h.resets, []state.FlowID{flow(1)})
 	h.is.Equal(h.count(relay.KindData), 0)
@@ -217,8 +217,8 @@
 // A balancer must not return to an older configuration, nor replace the present one by another of the same version.
 func TestConfigureRejectsVersionThatIsNotNewer(t *testing.T) {
 	h := newHarness(t)
-	h.is.True(h.b.Configure(config(7, service)))
-	h.is.True(!h.b.Configure(config(6, other)))
-	h.is.True(!h.b.Configure(config(7, other)))
+	h.is.True(h.b.Configure(h.now, config(7, service)))
+	h.is.True(!h.b.Configure(h.now, config(6, other)))
+	h.is.True(!h.b.Configure(h.now, config(7, other)))
 	h.is.Equal(h.b.ActiveVersion(), state.ConfigVersion(7))
 }
--- a/core/coord/steer/target.go
+++ b/core/coord/steer/target.go
@@ -231,21 +231,27 @@
 	}
 }
 
-// possibleHolders returns the targets that may hold a flow to an address; before the first configuration these are the
-// targets of all services. Targets that are down hold no flows.
-func (b *Balancer) possibleHolders(virtual state.Endpoint) []*target {
-	var found []*target
+// possibleHolders returns the targets that may hold a flow to an address: those of services to which the address is known to have been
+// routed, and those of services to which it may have been routed without this balancer knowing. Before the first configuration these
+// are the targets of all services. Targets that are down hold no flows.
+func (b *Balancer) possibleHolders(now time.Time, virtual state.Endpoint) (known, unknown []*target) {
+	incomplete := b.config.Version == 0 || b.routeHistory.isIncomplete(now)
 	for service, targets := range b.targets.byService {
-		if b.config.Version != 0 && !slices.Contains(b.servicesByAddress[virtual], service) {
+		wasRouted := b.routeHistory.wasRouted(virtual, service)
+		if !wasRouted && !incomplete {
 			continue
 		}
 		for _, t := range targets {
-			if !t.holdsNoFlow() {
-				found = append(found, t)
+			switch {
+			case t.holdsNoFlow():
+			case wasRouted:
+				known = append(known, t)
+			default:
+				unknown = append(unknown, t)
 			}
 		}
 	}
-	return found
+	return known, unknown
 }
 
 // ProcessPaused compensates for a pause of this process, during which it could receive no load reports: it moves the
--- a/core/coord/steer/unresponsive_test.go
+++ b/core/coord/steer/unresponsive_test.go
@@ -27,7 +27,7 @@
 func TestFlowsOfAnUnresponsiveAgentAreResetIfIdempotent(t *testing.T) {
 	for _, idempotent := range []bool{true, false} {
 		h := newHarness(t)
-		h.b.Configure(configWith(func(r *state.Route) { r.Idempotent = idempotent }))
+		h.b.Configure(h.now, configWith(func(r *state.Route) { r.Idempotent = idempotent }))
 		h.settle(1, 2, 3, 4, 5)
 		h.receiveLocation(agent(1), agent(1), flow(1))
 		h.advance(800*time.Millisecond, 2, 3, 4, 5)
@@ -42,7 +42,7 @@
 // If most agents seem unresponsive, it is this balancer that is cut off.
 func TestNoResetWhenMostAgentsAreUnresponsive(t *testing.T) {
 	h := newHarness(t)
-	h.b.Configure(configWith(func(r *state.Route) { r.Idempotent = true }))
+	h.b.Configure(h.now, configWith(func(r *state.Route) { r.Idempotent = true }))
 	h.settle(1, 2, 3, 4, 5)
 	h.receiveLocation(agent(1), agent(1), flow(1))
 	h.advance(2*time.Second, 2)
@@ -124,7 +124,7 @@
 func TestNoResetAfterBalancerDroppedMessages(t *testing.T) {
 	for _, dead := range []bool{false, true} {
 		h := newHarness(t)
-		h.b.Configure(configWith(func(r *state.Route) { r.Idempotent = true }))
+		h.b.Configure(h.now, configWith(func(r *state.Route) { r.Idempotent = true }))
 		h.settle(1, 2, 3, 4, 5)
 		h.receiveLocation(agent(1), agent(1), flow(1))
 		if dead {
@@ -164,7 +164,7 @@
 // has found an open flow again, and the agent's first report is not due yet.
 func TestNoResetBeforeFirstReportIsDueInALargeFleet(t *testing.T) {
 	h := newHarness(t)
-	h.b.Configure(configWith(func(r *state.Route) { r.Idempotent = true }))
+	h.b.Configure(h.now, configWith(func(r *state.Route) { r.Idempotent = true }))
 	h.members(1, 2, 3, 4, 5)
 	h.b.SetBalancers(balancers(91))
 	h.advance(500*time.Millisecond, 2, 3, 4, 5)
@@ -181,7 +181,7 @@
 // An agent whose load reports are lost, or late since its queue is long, still confirms flows: it is not unresponsive.
 func TestAnyMessageShowsThatAnAgentIsResponsive(t *testing.T) {
 	h := newHarness(t)
-	h.b.Configure(configWith(func(r *state.Route) { r.Idempotent = true }))
+	h.b.Configure(h.now, configWith(func(r *state.Route) { r.Idempotent = true }))
 	h.settle(1, 2, 3, 4, 5)
 	h.advance(900*time.Millisecond, 2, 3, 4, 5)
 	h.receiveLocation(agent(1), agent(1), flow(1))
@@ -211,7 +211,7 @@
 // with idempotent requests that no other agent holds are reset after about a second.
 func TestSearchDoesNotWaitForAgentThatLeavesProbesWithoutReply(t *testing.T) {
 	h := newHarness(t)
-	h.b.Configure(configWith(func(r *state.Route) { r.Idempotent = true }))
+	h.b.Configure(h.now, configWith(func(r *state.Route) { r.Idempotent = true }))
 	h.members(1, 2, 3, 4, 5)
 	h.b.SetBalancers(balancers(91))
 	h.advance(time.Second, 2, 3, 4, 5)
@@ -259,7 +259,7 @@
 // then: those that come last must not count as unresponsive while the others' are there already.
 func TestNoResetWhileHeldUpMessagesArrive(t *testing.T) {
 	h := newHarness(t)
-	h.b.Configure(configWith(func(r *state.Route) { r.Idempotent = true }))
+	h.b.Configure(h.now, configWith(func(r *state.Route) { r.Idempotent = true }))
 	h.settle(1, 2, 3, 4, 5)
 	h.receiveLocation(agent(1), agent(1), flow(1))
 	h.advance(2 * time.Second)
--- a/io/node/config.go
+++ b/io/node/config.go
@@ -357,9 +357,9 @@
 	if err != nil {
 		return err
 	}
-	return s.b.runInLoop(ctx, func(time.Time) {
+	return s.b.runInLoop(ctx, func(now time.Time) {
 		before := s.b.steer.ActiveVersion()
-		if !s.b.steer.Configure(c) {
+		if !s.b.steer.Configure(now, c) {
 			return
 		}
 		s.latest.Store(next)
--- a/io/node/decisionlog.go
+++ b/io/node/decisionlog.go
@@ -43,7 +43,7 @@
 	if d.Event == relay.EventRefused || d.Event == relay.EventRefusedByAgent {
 		l.set.GetOrCreateCounter(refusalCounter(d)).Inc()
 	}
-	pairs := make([]any, 0, 14)
+	pairs := make([]any, 0, 16)
 	if d.Flow != (state.FlowID{}) {
 		pairs = append(pairs, "flow", d.Flow)
 	}
@@ -62,6 +62,9 @@
 	if d.Age != 0 {
 		pairs = append(pairs, "ageMs", d.Age.Milliseconds())
 	}
+	if d.Unasked != 0 {
+		pairs = append(pairs, "unasked", d.Unasked)
+	}
 	l.log.Info(d.Event.String(), append(pairs, "count", d.Count)...)
 }
 
