node, watch: a cut watch leaves the watchers in charge, and failed calls are repeated

One balancer of five was partitioned from the store; the four others, which reached it, used the former configuration for up to 4.1 s after the acknowledgement of its successor.

Cause: every failed call, a watch that the store cut included, made a balancer announce that it could not reach the store, and it made no call for 10 s that could have shown otherwise. So after a cut of all watches, and after each outage, a single balancer watched for up to 10 s.

Ruled out: slow spread of versions (0.05 to 0.6 s at the changes before); failed calls of the others (there were none).

Change: watch.Reach decides. A watch that ends before its timeout is no failure; the read that follows decides. A candidate (12 at most) whose call failed repeats it until one succeeds; others still forget after 10 s. Retry delays are reset by an answered watch only. When a balancer begins and ends watching is logged. The watch loop moved to storewatch.go.

Related paths: the end of an outage of the store: the same cause (the first to be answered watched alone), fixed here, module test. The store turning away only the watchers: still replaced at once (existing test). Orders to evacuate: the same loop, fixed here. The list of balancers (discovery): each balancer reads it itself, nothing found. Agents: make no calls to the store but for that list. io/ctrl: every node polls for itself, nothing found.

Bytes of messages 0. State: a time and a list of addresses.

--- a/core/coord/watch/watch.go
+++ b/core/coord/watch/watch.go
@@ -26,19 +26,14 @@
 	StoreUnreachable bool
 }
 
-// Watchers returns the addresses of the balancers that watch the store: the first in the order of their rank that can reach it. If none
-// of those considered can, it returns the first ones of all, which keep trying. Nodes with the same list choose the same ones.
+// Watchers returns the addresses of the balancers that watch the store: the first candidates, in the order of their rank, that can reach
+// it. If no candidate can, it returns the first ones of all, which keep trying. Nodes with the same list choose the same ones.
 func Watchers(balancers []Balancer) []netip.AddrPort {
-	hashes := make([]uint64, 0, len(balancers))
-	for _, b := range balancers {
-		hashes = append(hashes, relay.NodeHash(b.Address))
-	}
-	considered := rank.Top(rankKey, hashes, watcherCount+replacementCount)
 	var reachable, all []netip.AddrPort
-	for _, i := range considered {
-		all = append(all, balancers[i].Address)
-		if !balancers[i].StoreUnreachable {
-			reachable = append(reachable, balancers[i].Address)
+	for _, b := range candidates(balancers) {
+		all = append(all, b.Address)
+		if !b.StoreUnreachable {
+			reachable = append(reachable, b.Address)
 		}
 	}
 	if len(reachable) == 0 {
@@ -46,3 +41,25 @@
 	}
 	return reachable[:min(watcherCount, len(reachable))]
 }
+
+// Candidates returns the addresses of the balancers that may become watchers, in the order of their rank.
+func Candidates(balancers []Balancer) []netip.AddrPort {
+	var addresses []netip.AddrPort
+	for _, b := range candidates(balancers) {
+		addresses = append(addresses, b.Address)
+	}
+	return addresses
+}
+
+// candidates returns the balancers that may become watchers, in the order of their rank.
+func candidates(balancers []Balancer) []Balancer {
+	hashes := make([]uint64, 0, len(balancers))
+	for _, b := range balancers {
+		hashes = append(hashes, relay.NodeHash(b.Address))
+	}
+	var found []Balancer
+	for _, i := range rank.Top(rankKey, hashes, watcherCount+replacementCount) {
+		found = append(found, balancers[i])
+	}
+	return found
+}
--- a/io/node/config.go
+++ b/io/node/config.go
@@ -7,7 +7,6 @@
 	"errors"
 	"net/http"
 	"net/netip"
-	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -24,20 +23,6 @@
 )
 
 const (
-	// unreachableTTL is how long a balancer whose call to the store failed leaves the watching to others.
-	unreachableTTL = 10 * time.Second
-	// watchTimeout is how long a watch call waits at the store for a change. A store that no longer answers is detected when the call
-	// times out.
-	watchTimeout = 4 * time.Second
-	// evacuationWatchTimeout is the same with evacuation on. An order must be in force within 5 s although the connection of a watch no
-	// longer carries data: 3.4 s and watchReplyMargin leave 0.9 s for the read that follows.
-	evacuationWatchTimeout = 3400 * time.Millisecond
-	// watchReplyMargin is how much longer than watchTimeout the reply to a watch call may take.
-	watchReplyMargin = 700 * time.Millisecond
-	// readTimeout is the timeout of a read from the store.
-	readTimeout = 1500 * time.Millisecond
-	// watcherCheckInterval is the time between two checks whether this balancer is a watcher.
-	watcherCheckInterval = 250 * time.Millisecond
 	// maxFirstRetryDelay is the maximum delay after a failed call while this balancer has no configuration. It is short because no new
 	// flow can be placed before the first configuration.
 	maxFirstRetryDelay = 400 * time.Millisecond
@@ -89,9 +74,6 @@
 	latest atomic.Pointer[storedConfig]
 	// fetchRequests holds the address of a balancer from which a newer version is to be fetched.
 	fetchRequests chan netip.AddrPort
-	// storeUnavailable is true if the last call to the store failed. While the store answers that it has no configuration, it does not
-	// change.
-	storeUnavailable atomic.Bool
 	// startedAt is when the balancer started.
 	startedAt time.Time
 	// era is the latest era of the store; zero before the first answer. Only the watcher uses it.
@@ -101,16 +83,18 @@
 	// restores counts how often the store came back from an earlier copy.
 	restores *metrics.Counter
 
-	// unreachableSince is when the last series of failed calls to the store began; zero if the last call succeeded or the series is older
-	// than unreachableTTL. Only the watcher uses it.
-	unreachableSince time.Time
+	// reach tells whether the calls to the store succeed. Only the watcher uses it.
+	reach watch.Reach
+	// watching is true while this balancer is one of those that watch the store. Only the watcher uses it.
+	watching bool
 
-	// mu protects balancers and watchers.
+	// mu protects balancers, watchers and candidates.
 	mu sync.Mutex
 	// balancers are the addresses of the balancers that are present, this one included.
 	balancers []netip.AddrPort
-	// watchers are those of them that watch the store.
-	watchers []netip.AddrPort
+	// watchers are those of them that watch the store; candidates are those that may become watchers.
+	watchers   []netip.AddrPort
+	candidates []netip.AddrPort
 }
 
 func newConfigSyncer(b *Balancer, source ConfigSource) *configSyncer {
@@ -156,48 +140,12 @@
 	for _, b := range list {
 		addresses = append(addresses, b.Address)
 	}
-	watchers := watch.Watchers(list)
+	watchers, candidates := watch.Watchers(list), watch.Candidates(list)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.balancers = addresses
 	s.watchers = watchers
-}
-
-// isWatcher reports whether this balancer is one of those that watch the store. A balancer that is not on its own list, such as before
-// the first list, is one too.
-func (s *configSyncer) isWatcher() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	self := s.b.settings.Internal
-	return !slices.Contains(s.balancers, self) || slices.Contains(s.watchers, self)
-}
-
-// watch reads the first configuration from the store and, while this balancer is a watcher, watches the store for newer ones. After an
-// error, or once this balancer is no longer a watcher, the position is reset, so the next call to the store is a read.
-func (s *configSyncer) watch(ctx context.Context) error {
-	delays := newRetryDelays()
-	position := state.StorePosition{}
-	for ctx.Err() == nil {
-		if position.Revision != 0 && !s.isWatcher() {
-			position = state.StorePosition{}
-		}
-		if s.initialised() && position.Revision == 0 && !s.isWatcher() {
-			s.expireUnreachable(ctx)
-			group.Sleep(ctx, watcherCheckInterval)
-			continue
-		}
-		next, err := s.readOrWait(ctx, position)
-		if err != nil && ctx.Err() == nil {
-			s.handleStoreError(ctx, err)
-			position = state.StorePosition{}
-			group.Sleep(ctx, s.limitRetryDelay(delays.NextBackOff()))
-			continue
-		}
-		s.markStoreAvailable(ctx)
-		delays.Reset()
-		position = next
-	}
-	return nil
+	s.candidates = candidates
 }
 
 // waitForPeer waits until another node has answered, up to firstPeerTimeout after the start. The answer says which version of the
@@ -210,41 +158,6 @@
 	}
 }
 
-// limitRetryDelay limits a retry delay to maxFirstRetryDelay while new flows can't be placed, and to maxStoreRetryDelay with evacuation on.
-func (s *configSyncer) limitRetryDelay(delay time.Duration) time.Duration {
-	if !s.initialised() {
-		return min(delay, maxFirstRetryDelay)
-	}
-	if s.b.evacuation != nil {
-		return min(delay, maxStoreRetryDelay)
-	}
-	return delay
-}
-
-// readOrWait reads what the operator has written if after is zero. Otherwise it waits for a change after that position. It returns the
-// position to wait from next.
-func (s *configSyncer) readOrWait(ctx context.Context, after state.StorePosition) (state.StorePosition, error) {
-	if after.Revision == 0 {
-		limited, cancel := context.WithTimeout(ctx, s.timeoutOfRead())
-		defer cancel()
-		content, err := s.source.Read(limited)
-		position, err := s.handleAnswer(ctx, s.updateOfRead(content), err)
-		if err == nil && content.Config == nil && s.latest.Load() == nil {
-			err = errs.New(errs.NotFound, "store has no configuration")
-		}
-		return position, err
-	}
-	limited, cancel := context.WithTimeout(ctx, s.waitAtStore()+watchReplyMargin)
-	defer cancel()
-	changes, err := s.source.Wait(limited, after, s.waitAtStore())
-	if errs.KindOf(err) == errs.NotFound {
-		s.log.Info("store no longer has the history since the last position; reading the whole configuration",
-			"era", after.Era, "revision", after.Revision, "reason", errs.Text(err))
-		return state.StorePosition{}, s.noteEra(ctx, changes.Position.Era)
-	}
-	return s.handleAnswer(ctx, s.updateOfChanges(changes), err)
-}
-
 // handleAnswer notes the era of an answer of the store and applies the orders and the configuration in it: the orders first, since a
 // configuration may have to wait.
 func (s *configSyncer) handleAnswer(ctx context.Context, u storeUpdate, err error) (state.StorePosition, error) {
@@ -300,45 +213,6 @@
 	return s.apply(ctx, raw, "store")
 }
 
-// handleStoreError logs and announces the first of a series of failed calls to the store, and logs each reply that there is no
-// configuration.
-func (s *configSyncer) handleStoreError(ctx context.Context, err error) {
-	if errs.KindOf(err) == errs.NotFound {
-		s.log.Info("store has no configuration yet; retrying")
-		return
-	}
-	if !s.storeUnavailable.Swap(true) {
-		s.log.Warn("call to the store failed; keeping the present configuration", "error", errs.Text(err))
-		s.unreachableSince = time.Now()
-		s.announceUnreachable(ctx, true)
-	}
-}
-
-// expireUnreachable withdraws the announcement that the store can't be reached after unreachableTTL, so that this balancer may become a
-// watcher again. A balancer that doesn't watch makes no calls that could show it.
-func (s *configSyncer) expireUnreachable(ctx context.Context) {
-	if s.unreachableSince.IsZero() || time.Since(s.unreachableSince) < unreachableTTL {
-		return
-	}
-	s.unreachableSince = time.Time{}
-	s.storeUnavailable.Store(false)
-	s.announceUnreachable(ctx, false)
-}
-
-// announceUnreachable announces to the fleet whether this balancer's calls to the store fail.
-func (s *configSyncer) announceUnreachable(ctx context.Context, unreachable bool) {
-	s.b.runInLoopOrLog(ctx, func(time.Time) { s.b.fleet.announceStoreUnreachable(unreachable) })
-}
-
-// markStoreAvailable logs and announces that the store answers again after failed calls.
-func (s *configSyncer) markStoreAvailable(ctx context.Context) {
-	if s.storeUnavailable.Swap(false) {
-		s.log.Info("store answers again")
-		s.unreachableSince = time.Time{}
-		s.announceUnreachable(ctx, false)
-	}
-}
-
 // apply decodes a configuration in its stored form and activates it if it is newer than the present one. One that can't be decoded is
 // logged and ignored, and the present one stays active.
 func (s *configSyncer) apply(ctx context.Context, raw []byte, from string) error {
