steer, node: a balancer that skipped a configuration searches all services

A flow that another balancer placed by a skipped version is reset once its packets arrive here.

Ruled out: that versions show it, since they rise in uneven steps.

Change: state.Config.Follows is the version that a configuration replaced, known to a balancer that got it as the only change of a watch, passed on in the header Config-Follows of a fetch. The configuration is decoded once per answer of the store (twice before).

Related paths: several changes in one answer of the store (counted), a read after a failed call (unknown), a fetch (header), a restored store (unknown, so taken as skipped), another release without the header (unknown).

Cost: store calls 0; a header of about 20 bytes a fetch; two version numbers a balancer.

--- a/core/coord/steer/routehistory.go
+++ b/core/coord/steer/routehistory.go
@@ -13,7 +13,7 @@
 const outdatedConfigLimit = 30 * time.Second
 
 // routeHistory holds the services to which each address has been routed: open flows stay at their targets when a route moves to another
-// service. It starts empty with each process, so for some time it lacks what only former configurations contained.
+// service. It starts empty with each process, and a balancer may skip configurations, so for some time it may lack what only those contained.
 type routeHistory struct {
 	// services has, for each address with a route, every service that any configuration so far has routed it to.
 	services map[state.Endpoint][]state.ServiceName
--- a/core/coord/steer/routehistory_test.go
+++ b/core/coord/steer/routehistory_test.go
@@ -110,3 +110,40 @@
 	h.is.Equal(len(h.resets), 0)
 	h.is.Equal(h.count(relay.KindData), 0) // the probe has delivered the packet
 }
+
+// settleBothServices returns a harness whose balancer has run with the first configuration for so long that its history is complete.
+func settleBothServices(t *testing.T) *harness {
+	h := newHarness(t)
+	h.b.Configure(h.now, config(1, service))
+	h.bothServices()
+	h.advanceBothServices(historyTTL)
+	h.clear()
+	return h
+}
+
+// configAfter returns a configuration that is known to have replaced another one.
+func configAfter(follows, version state.ConfigVersion, svc state.ServiceName) state.Config {
+	c := config(version, svc)
+	c.Follows = follows
+	return c
+}
+
+// When configurations follow each other quickly, a balancer that fetches them from others gets only the newest one. A flow that another
+// balancer placed by one in between was reset once its packets arrived here.
+func TestFlowOfASkippedConfigurationIsFound(t *testing.T) {
+	h := settleBothServices(t)
+	h.b.Configure(h.now, configAfter(2, 3, service)) // version 2 had a route to the other service
+	h.b.HandlePacket(h.now, dataSegment(flow(1)))
+	h.receiveNotFound(agent(formerAgent), flow(1), noPacket)
+	h.is.Equal(len(h.resets), 0)
+	h.is.Equal(h.asked(), []netip.AddrPort{agent(formerAgent), agent(currentAgent)})
+}
+
+// A change after which no flow can be elsewhere must not make each lost flow cost a message to every agent.
+func TestOtherServicesAreNotAskedAfterASuccessiveConfiguration(t *testing.T) {
+	h := settleBothServices(t)
+	h.b.Configure(h.now, configAfter(1, 2, service))
+	h.b.HandlePacket(h.now, dataSegment(flow(1)))
+	h.receiveNotFound(agent(formerAgent), flow(1), noPacket)
+	h.is.Equal(h.resets, []state.FlowID{flow(1)})
+}
--- a/core/coord/steer/steer.go
+++ b/core/coord/steer/steer.go
@@ -113,7 +113,7 @@
 	if c.Version <= b.config.Version {
 		return false
 	}
-	if b.config.Version == 0 {
+	if c.Follows == 0 || c.Follows != b.config.Version {
 		b.routeHistory.missed(now)
 	}
 	b.config = c
--- a/core/state/flow.go
+++ b/core/state/flow.go
@@ -111,6 +111,8 @@
 // Config is one version of the operator's configuration.
 type Config struct {
 	Version ConfigVersion
+	// Follows is the version that this one replaced, without another in between; zero if that is unknown.
+	Follows ConfigVersion
 	// Routes has at most one route for each virtual address.
 	Routes map[Endpoint]Route
 	// Services has the limits of the services that have any.
--- a/io/node/config.go
+++ b/io/node/config.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -36,13 +37,16 @@
 	fetchTimeout = time.Second
 	// configPath is the path at which a balancer serves its configuration, in its stored form, to other balancers.
 	configPath = "/configuration"
+	// followsHeader is the header of its response with the version that the configuration replaced; see state.Config.
+	followsHeader = "Config-Follows"
 	// maxConfigBytes is the maximum size of a fetched configuration.
 	maxConfigBytes = 4 << 20
 )
 
-// storedConfig is a configuration in its stored form, with its version.
+// storedConfig is a configuration in its stored form, with its version and the one that it replaced; see state.Config.
 type storedConfig struct {
 	version state.ConfigVersion
+	follows state.ConfigVersion
 	raw     []byte
 	// compressed is raw in the gzip format.
 	compressed []byte
@@ -50,7 +54,7 @@
 
 // newStoredConfig compresses a configuration once for all fetches: many balancers may fetch it at the same time, and a large one that is
 // not compressed occupies the link of a small instance for seconds.
-func newStoredConfig(version state.ConfigVersion, raw []byte) (*storedConfig, error) {
+func newStoredConfig(c state.Config, raw []byte) (*storedConfig, error) {
 	var compressed bytes.Buffer
 	w, err := gzip.NewWriterLevel(&compressed, gzip.BestSpeed)
 	if err != nil {
@@ -60,7 +64,7 @@
 	if err = errors.Join(err, w.Close()); err != nil {
 		return nil, errs.Wrap(err, errs.Internal, "configuration can't be compressed")
 	}
-	return &storedConfig{version: version, raw: raw, compressed: compressed.Bytes()}, nil
+	return &storedConfig{version: c.Version, follows: c.Follows, raw: raw, compressed: compressed.Bytes()}, nil
 }
 
 // configSyncer keeps a balancer's configuration up to date with the store and the other balancers. The highest version wins, whichever
@@ -76,6 +80,9 @@
 	fetchRequests chan netip.AddrPort
 	// startedAt is when the balancer started.
 	startedAt time.Time
+	// versionAtStore is the version of the last configuration that the store returned; zero if there was none, or it could not be decoded.
+	// Only the watcher uses it.
+	versionAtStore state.ConfigVersion
 	// era is the latest era of the store; zero before the first answer. Only the watcher uses it.
 	era state.StoreEra
 	// orders are the orders to evacuate data centres after the last read or wait. Only the watcher uses them.
@@ -124,6 +131,7 @@
 			http.Error(w, "no configuration yet", http.StatusNotFound)
 			return
 		}
+		w.Header().Set(followsHeader, strconv.FormatUint(uint64(latest.follows), 10))
 		if !strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
 			_, _ = w.Write(latest.raw)
 			return
@@ -170,7 +178,7 @@
 	if err := s.applyOrders(ctx, u); err != nil {
 		return state.StorePosition{}, err
 	}
-	return u.position, s.applyFromStore(ctx, u.config)
+	return u.position, s.applyFromStore(ctx, u)
 }
 
 // noteEra announces the era of the store to the fleet if it is a later one than known, and logs that the store was restored.
@@ -189,45 +197,65 @@
 	return nil
 }
 
-// applyFromStore applies a configuration that was read from the store. A store that was restored may have an older version than the
-// fleet. A balancer without a configuration activates an older one only after olderVersionDelay: if no other balancer has the newer one
-// any more, routes that are some seconds old are better than none.
-func (s *configSyncer) applyFromStore(ctx context.Context, raw []byte) error {
-	if len(raw) == 0 || s.latest.Load() != nil {
-		return s.apply(ctx, raw, "store")
+// applyFromStore applies the configuration of an update, if it has one.
+func (s *configSyncer) applyFromStore(ctx context.Context, u storeUpdate) error {
+	if len(u.config) == 0 {
+		return nil
 	}
-	s.waitForPeer(ctx)
-	c, err := s.source.Decode(raw)
+	c, err := s.source.Decode(u.config)
 	if err != nil {
-		return s.apply(ctx, raw, "store")
+		s.versionAtStore = 0
+		s.logUndecodable("store", err)
+		return nil
+	}
+	c.Follows = s.noteVersionAtStore(c.Version, u.followsLast)
+	if s.latest.Load() == nil {
+		if err := s.waitForNewer(ctx, c.Version); err != nil {
+			return err
+		}
 	}
+	return s.activate(ctx, c, u.config, "store")
+}
+
+// noteVersionAtStore notes the version of a configuration that the store has returned. It returns the version that this one replaced if it
+// follows the last one that was noted, and zero otherwise.
+func (s *configSyncer) noteVersionAtStore(version state.ConfigVersion, followsLast bool) state.ConfigVersion {
+	before := s.versionAtStore
+	s.versionAtStore = version
+	if !followsLast {
+		return 0
+	}
+	return before
+}
+
+// waitForNewer is called before the first configuration is activated, with its version. A store that was restored may have an older
+// version than the fleet. A balancer activates an older one only after olderVersionDelay: if no other balancer has the newer one any
+// more, routes that are some seconds old are better than none.
+func (s *configSyncer) waitForNewer(ctx context.Context, version state.ConfigVersion) error {
+	s.waitForPeer(ctx)
 	var announced state.ConfigVersion
-	err = s.b.runInLoop(ctx, func(time.Time) { announced, _ = s.b.fleet.announcedConfig() })
+	err := s.b.runInLoop(ctx, func(time.Time) { announced, _ = s.b.fleet.announcedConfig() })
 	if err != nil {
 		return err
 	}
-	if c.Version < announced {
-		s.log.Warn("store has an older configuration than the fleet; waiting for another balancer's", "version", c.Version, "announced", announced)
+	if version < announced {
+		s.log.Warn("store has an older configuration than the fleet; waiting for another balancer's", "version", version, "announced", announced)
 		group.Sleep(ctx, olderVersionDelay)
 	}
-	return s.apply(ctx, raw, "store")
+	return nil
 }
 
-// apply decodes a configuration in its stored form and activates it if it is newer than the present one. One that can't be decoded is
-// logged and ignored, and the present one stays active.
-func (s *configSyncer) apply(ctx context.Context, raw []byte, from string) error {
-	if len(raw) == 0 {
-		return nil
-	}
-	c, err := s.source.Decode(raw)
-	if err != nil {
-		s.log.Error("configuration can't be decoded; keeping the present one", "from", from, "error", errs.Text(err))
-		return nil
-	}
+// logUndecodable logs a configuration that can't be decoded, which is ignored.
+func (s *configSyncer) logUndecodable(from string, err error) {
+	s.log.Error("configuration can't be decoded; keeping the present one", "from", from, "error", errs.Text(err))
+}
+
+// activate activates a configuration if it is newer than the present one. raw is its stored form.
+func (s *configSyncer) activate(ctx context.Context, c state.Config, raw []byte, from string) error {
 	if c.Version <= s.version() {
 		return nil
 	}
-	next, err := newStoredConfig(c.Version, raw)
+	next, err := newStoredConfig(c, raw)
 	if err != nil {
 		return err
 	}
@@ -238,6 +266,6 @@
 		}
 		s.latest.Store(next)
 		s.b.fleet.announceConfig(c.Version, s.b.settings.Internal)
-		s.log.Info("configuration activated", "version", c.Version, "before", before, "from", from, "routes", len(c.Routes))
+		s.log.Info("configuration activated", "version", c.Version, "before", before, "follows", c.Follows, "from", from, "routes", len(c.Routes))
 	})
 }
--- a/io/node/config_test.go
+++ b/io/node/config_test.go
@@ -10,6 +10,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"monsoonstep/core/state"
 )
 
 // A fleet fetches a configuration of 2,000 routes from an instance with a link of 10 Mbit/s. Without compression the link would be
@@ -23,7 +25,7 @@
 	s := &configSyncer{}
 	page := httptest.NewServer(s.handler())
 	defer page.Close()
-	latest, err := newStoredConfig(7, raw.Bytes())
+	latest, err := newStoredConfig(state.Config{Version: 7}, raw.Bytes())
 	check.NoErr(err)
 	check.True(len(latest.compressed)*5 < raw.Len())
 	s.latest.Store(latest)
@@ -39,3 +41,27 @@
 	check.True(response.Uncompressed)
 	check.Equal(fetched, raw.Bytes())
 }
+
+// A balancer that can't tell whether it skipped a configuration takes the route history for complete, and resets flows that it should
+// search for.
+func TestFetchedConfigurationTellsWhichVersionItReplaced(t *testing.T) {
+	check := is.New(t)
+	s := &configSyncer{}
+	latest, err := newStoredConfig(state.Config{Version: 9, Follows: 7}, []byte("{}"))
+	check.NoErr(err)
+	s.latest.Store(latest)
+	response := httptest.NewRecorder()
+	s.handler().ServeHTTP(response, httptest.NewRequest(http.MethodGet, configPath, nil))
+	check.Equal(followsOf(response.Header()), state.ConfigVersion(7))
+	check.Equal(followsOf(http.Header{}), state.ConfigVersion(0)) // from a balancer of another release
+}
+
+// Only a single change within a watch tells what was replaced: after a read, or several changes at once, others may have been missed.
+func TestVersionAtTheStoreFollowsTheLastOneOnlyAfterASingleChange(t *testing.T) {
+	check := is.New(t)
+	s := &configSyncer{b: &Balancer{node: &node{}}}
+	check.Equal(s.noteVersionAtStore(3, s.updateOfRead(StoreContent{}).followsLast), state.ConfigVersion(0))
+	check.Equal(s.noteVersionAtStore(5, s.updateOfChanges(StoreChanges{ConfigChanges: 1}).followsLast), state.ConfigVersion(3))
+	check.Equal(s.noteVersionAtStore(9, s.updateOfChanges(StoreChanges{ConfigChanges: 2}).followsLast), state.ConfigVersion(0))
+	check.Equal(s.noteVersionAtStore(11, s.updateOfChanges(StoreChanges{ConfigChanges: 1}).followsLast), state.ConfigVersion(9))
+}
--- a/io/node/configfetch.go
+++ b/io/node/configfetch.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/netip"
 	"slices"
+	"strconv"
 
 	"monsoonstep/core/errs"
 	"monsoonstep/core/state"
@@ -82,5 +83,21 @@
 	if response.StatusCode != http.StatusOK {
 		return errs.New(errs.NotFound, "balancer answered with status %d", response.StatusCode)
 	}
-	return s.apply(ctx, raw, holder.String())
+	c, err := s.source.Decode(raw)
+	if err != nil {
+		s.logUndecodable(holder.String(), err)
+		return nil
+	}
+	c.Follows = followsOf(response.Header)
+	return s.activate(ctx, c, raw, holder.String())
+}
+
+// followsOf returns the version that a fetched configuration replaced; zero if the header is missing or is no number, as from a balancer
+// of another release.
+func followsOf(header http.Header) state.ConfigVersion {
+	follows, err := strconv.ParseUint(header.Get(followsHeader), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return state.ConfigVersion(follows)
 }
--- a/io/node/source.go
+++ b/io/node/source.go
@@ -36,8 +36,10 @@
 type StoreChanges struct {
 	// Position is the position up to which all changes have been returned. Its era is set after an error too, if the store answered.
 	Position state.StorePosition
-	// Config is the newest configuration in its stored form; nil if it did not change within the wait.
-	Config []byte
+	// Config is the newest configuration in its stored form; nil if it did not change within the wait. ConfigChanges is how often it
+	// changed.
+	Config        []byte
+	ConfigChanges int
 	// Evacuations are the changes of orders, in the order in which they were made.
 	Evacuations []EvacuationChange
 }
@@ -53,8 +55,10 @@
 // storeUpdate is what the syncer applies after a read or a wait.
 type storeUpdate struct {
 	position state.StorePosition
-	// config is nil if it is missing or has not changed.
-	config []byte
+	// config is nil if it is missing or has not changed. followsLast is true if it replaced the configuration of the last update that
+	// had one, without another in between.
+	config      []byte
+	followsLast bool
 	// orders is nil if the orders were not read or have not changed.
 	orders *evac.Orders
 }
@@ -72,7 +76,7 @@
 // updateOfChanges returns the update that follows from a wait. Its orders are those at the last change, so that all balancers that watch
 // the store announce the same.
 func (s *configSyncer) updateOfChanges(c StoreChanges) storeUpdate {
-	u := storeUpdate{position: c.Position, config: c.Config}
+	u := storeUpdate{position: c.Position, config: c.Config, followsLast: c.ConfigChanges == 1}
 	if s.b.evacuation == nil || len(c.Evacuations) == 0 {
 		return u
 	}
