steer: few agents of other services are queried together with the first

Change: if at most 64 targets of other services may hold the flow, those whose agents know all flows are queried with the first ones: a query and its reply have 24 bytes a flow, so 64 cost about as much as one probe. Larger fleets, and agents that need a probe, are asked one after the other as before.

Weighed: agents that report the lowest version under which they were offered a flow, to be left out altogether: a report may be older than the offer of a balancer with a former configuration, so a live flow could be reset.

Cost: store calls 0, state 0; up to 1.5 kB of queries and replies for a search that no owner could answer, for 90 s after a start.

TestFewAgentsOfOtherServicesAreQueriedAtOnce is new.

--- a/core/coord/steer/routehistory_test.go
+++ b/core/coord/steer/routehistory_test.go
@@ -147,3 +147,30 @@
 	h.receiveNotFound(agent(formerAgent), flow(1), noPacket)
 	h.is.Equal(h.resets, []state.FlowID{flow(1)})
 }
+
+// After a loss of power a flow is lost at all services, and its client waits for the reset. Agents that can answer a query must not be asked
+// one service after the other, unless there are so many that a query to each would cost more than the time is worth.
+func TestFewAgentsOfOtherServicesAreQueriedAtOnce(t *testing.T) {
+	for _, test := range []struct {
+		otherAgents byte
+		queried     int
+	}{{64, 65}, {65, 1}} {
+		h := newHarness(t)
+		h.b.Configure(h.now, config(8, service))
+		members := []state.Member{member(1, service, state.HealthAlive)}
+		for n := range test.otherAgents {
+			members = append(members, member(2+n, other, state.HealthAlive))
+		}
+		h.b.SetMembers(h.now, members)
+		h.now = h.now.Add(time.Second)
+		for _, m := range members {
+			h.b.HandleMessage(h.now, m.Flow, relay.Message{
+				Kind: relay.KindLoad, HasLoad: true, Service: m.Service.ID(),
+				Load: relay.Load{Accepting: true, KnowsAllFlows: true, ReportInterval: time.Second},
+			}, state.Segment{})
+		}
+		h.b.HandlePacket(h.now, dataSegment(flow(1)))
+		h.b.FlushQueries()
+		h.is.Equal(h.count(relay.KindQuery), test.queried)
+	}
+}
--- a/core/coord/steer/search.go
+++ b/core/coord/steer/search.go
@@ -17,6 +17,9 @@
 	batchTimeout = 150 * time.Millisecond
 	// batchGrowthFactor is the ratio of the sizes of two successive batches.
 	batchGrowthFactor = 2
+	// maxEarlyQueries is the maximum number of targets of other services that are queried together with those of the flow's services.
+	// So many queries and replies have about as many bytes as one probe.
+	maxEarlyQueries = 64
 	// maxKeptPackets is how many packets of one flow are kept until its search ends.
 	maxKeptPackets = 4
 	// discoverySettleTime is how long a balancer must have discovered no new agent before its list of agents counts as
@@ -206,14 +209,18 @@
 
 // remainingTargets returns the targets that may hold the flow and have not been asked, in the order in which they are
 // considered for it: it is most likely at the target where it would be placed today. The targets of services to which the
-// address may have been routed before this balancer knew of it follow only after all others were asked.
+// address may have been routed before this balancer knew of it follow only after all others were asked, but for those that
+// can be queried at once, if these are few.
 func (b *Balancer) remainingTargets(now time.Time, s *search) []*target {
 	known, unknown := b.possibleHolders(now, s.segment.Flow.Virtual)
 	remaining := b.unaskedTargets(now, s, known)
-	if len(remaining) == 0 {
-		remaining = b.unaskedTargets(now, s, unknown)
+	if len(remaining) > 0 && len(unknown) > maxEarlyQueries {
+		return remaining
+	}
+	if len(remaining) > 0 {
+		unknown = slices.DeleteFunc(unknown, func(t *target) bool { return !t.load.KnowsAllFlows })
 	}
-	return remaining
+	return append(remaining, b.unaskedTargets(now, s, unknown)...)
 }
 
 // unaskedTargets returns those of some targets that have not been asked in a search, in the order in which they are considered for its
