node: a watch whose connection attempt times out is no cut watch

Change: a watch without an answer was cut unless it, or its attempt to connect, timed out (errs.IsTimeout looks through the causes). Measured: TestOnlyAWatchWithoutTimeoutCountsAsCut; the connection attempt counted as cut with the former condition, which looked at the context of the watch only.

--- a/core/errs/error.go
+++ b/core/errs/error.go
@@ -1,6 +1,7 @@
 package errs
 
 import (
+	"errors"
 	"strings"
 
 	"github.com/joomcode/errorx"
@@ -42,6 +43,22 @@
 // HasKind reports whether err is an errorx error, as New and Wrap return them.
 func HasKind(err error) bool { return errorx.Cast(err) != nil }
 
+// IsTimeout reports whether err or one of its causes is a timeout, such as context.DeadlineExceeded or that of a connection attempt.
+func IsTimeout(err error) bool {
+	for err != nil {
+		var timeout interface{ Timeout() bool }
+		if errors.As(err, &timeout) && timeout.Timeout() {
+			return true
+		}
+		wrapped := errorx.Cast(err)
+		if wrapped == nil {
+			return false
+		}
+		err = wrapped.Cause()
+	}
+	return false
+}
+
 // Text returns the message of an error and of its causes without the names of their kinds; for those, see
 // Response.Name.
 func Text(err error) string {
--- a/io/node/config_test.go
+++ b/io/node/config_test.go
@@ -5,12 +5,17 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/url"
+	"os"
 	"testing"
 
 	"github.com/matryer/is"
 
+	"monsoonstep/core/coord/watch"
+	"monsoonstep/core/errs"
 	"monsoonstep/core/state"
 )
 
@@ -65,3 +70,15 @@
 	check.Equal(s.noteVersionAtStore(9, s.updateOfChanges(StoreChanges{ConfigChanges: 2}).followsLast), state.ConfigVersion(0))
 	check.Equal(s.noteVersionAtStore(11, s.updateOfChanges(StoreChanges{ConfigChanges: 1}).followsLast), state.ConfigVersion(9))
 }
+
+// A partition from the store that comes between two watches shows as a connection attempt that times out. Taken for a cut watch, it would
+// be announced only after another timeout.
+func TestOnlyAWatchWithoutTimeoutCountsAsCut(t *testing.T) {
+	check := is.New(t)
+	noResponse := func(cause error) error { return errs.Wrap(cause, errs.StoreDown, "no response") }
+	dialTimeout := &url.Error{Op: "Get", Err: &net.OpError{Op: "dial", Err: os.ErrDeadlineExceeded}}
+	check.Equal(outcomeOfWatch(noResponse(io.EOF)), watch.WatchCut)
+	check.Equal(outcomeOfWatch(noResponse(dialTimeout)), watch.Failed)
+	check.Equal(outcomeOfWatch(noResponse(context.DeadlineExceeded)), watch.Failed)
+	check.Equal(outcomeOfWatch(nil), watch.Answered)
+}
--- a/io/node/storewatch.go
+++ b/io/node/storewatch.go
@@ -114,10 +114,7 @@
 			"era", after.Era, "revision", after.Revision, "reason", errs.Text(err))
 		return state.StorePosition{}, watch.Answered, s.noteEra(ctx, changes.Position.Era)
 	}
-	outcome := outcomeOf(err)
-	if outcome == watch.Failed && limited.Err() == nil {
-		outcome = watch.WatchCut
-	}
+	outcome := outcomeOfWatch(err)
 	position, err := s.handleAnswer(ctx, s.updateOfChanges(changes), err)
 	return position, outcome, err
 }
@@ -143,6 +140,15 @@
 	return watch.Failed
 }
 
+// outcomeOfWatch is outcomeOf for a watch. One that got no answer was cut, unless it or the attempt to connect timed out.
+func outcomeOfWatch(err error) watch.Outcome {
+	outcome := outcomeOf(err)
+	if outcome == watch.Failed && !errs.IsTimeout(err) {
+		return watch.WatchCut
+	}
+	return outcome
+}
+
 // recordOutcome records how a call to the store ended. It announces the first of a series of failed calls, and the first call that
 // succeeds after it, to the fleet.
 func (s *configSyncer) recordOutcome(ctx context.Context, outcome watch.Outcome, err error) {
