--- a/core/coord/gossip/machine.go
+++ b/core/coord/gossip/machine.go
@@ -82,6 +82,8 @@
 	index int
 	// deadAt is when a suspect is declared dead.
 	deadAt time.Time
+	// wasPresent is true once this node has known the member as present.
+	wasPresent bool
 	// changedAt is when the row was last changed, by this node's clock; for a member that is down, when it went down.
 	changedAt time.Time
 }
@@ -278,7 +280,7 @@
 	case KindPingRequest:
 		return m.handlePingRequest(now, from, msg)
 	case KindDigest, KindDiff:
-		return m.handleDigest(from, msg)
+		return m.handleDigest(now, from, msg)
 	default:
 		return nil
 	}
