--- a/core/coord/gate/gate.go
+++ b/core/coord/gate/gate.go
@@ -138,7 +138,7 @@
 	offered phase = iota
 	// probing: a packet was delivered, but it is not known whether the target holds the flow.
 	probing
-	// open: the target has accepted the flow; see flow.held.
+	// open: the target holds the flow.
 	open
 	// closed: both sides have finished the flow, or one has reset it.
 	closed
@@ -156,13 +156,9 @@
 	// resetSequence is the sequence number that the client last acknowledged or, while that is unknown, the one that the target
 	// last sent. A reset must carry a number near it, or the client ignores it.
 	resetSequence uint32
-	// held is set once the target has sent a packet that it sends only on a flow that it holds: any but the answer to an opening packet
-	// and a reset. Until then the flow may be open at another target that accepted a copy of the opening packet.
-	held bool
 	// established is set once the client has acknowledged a packet of the target, or the target has sent data: both ends take
 	// part, so the flow is more than an offer that another target may have accepted.
 	established bool
-	establishedAt time.Time
 	// assumed is set while the flow counts as open only because the target has not returned a packet of it within probeTimeout.
 	assumed bool
 	// outstanding is set from the opening packet, and from each request's first packet, until the first packet of an answer.
@@ -180,9 +176,6 @@
 	returnPacket bool
 }
 
-// isHeld reports whether the target holds the flow, as far as this gate may tell others.
-func (f *flow) isHeld() bool { return f.phase == open && (f.held || f.assumed) }
-
 // New returns a gate for an agent that starts now.
 func New(now time.Time, settings Settings, actions Actions) *Gate {
 	return &Gate{
@@ -213,7 +206,7 @@
 	}
 	g.balancers = processes
 	for id, f := range g.flows {
-		if !f.isHeld() {
+		if f.phase != open {
 			continue
 		}
 		previous := previousOwners.Of(id)
--- a/core/coord/gate/inbound.go
+++ b/core/coord/gate/inbound.go
@@ -29,7 +29,7 @@
 	for _, id := range m.Flows {
 		f, known := g.flows[id]
 		switch {
-		case known && f.isHeld():
+		case known && f.phase == open:
 			g.sendLocation(from, id)
 		case !known && certain:
 			reply.Flows = append(reply.Flows, id)
@@ -114,11 +114,8 @@
 	f, known := g.flows[seg.Flow]
 	if known {
 		f.balancer = from
-		if m.Kind == relay.KindProbe && f.phase == open && !f.isHeld() {
-			g.startProbing(now, f)
-		}
 		g.deliverPacket(now, f, seg)
-		if m.Kind == relay.KindProbe && f.isHeld() {
+		if m.Kind == relay.KindProbe && f.phase == open {
 			g.sendLocation(from, seg.Flow)
 		}
 		return
@@ -132,14 +129,6 @@
 	g.deliverPacket(now, f, seg)
 }
 
-// startProbing makes the packet that follows decide whether the target holds a flow that it has accepted.
-func (g *Gate) startProbing(now time.Time, f *flow) {
-	g.openFlows--
-	f.phase = probing
-	f.createdAt = now
-	f.returnPacket = false
-}
-
 // sendNotFound reports to a balancer that the target does not hold the flow. The packet goes back only if m is a KindData: the
 // packet of a probe went to other agents too.
 func (g *Gate) sendNotFound(to netip.AddrPort, m relay.Message, seg state.Segment) {
@@ -157,9 +146,6 @@
 	f.lastPacket = now
 	if seg.Acknowledges {
 		f.resetSequence = seg.Acknowledged
-		if !f.established {
-			f.establishedAt = now
-		}
 		f.established = true
 	}
 	if seg.DataLen > 0 {
--- a/core/coord/gate/outbound.go
+++ b/core/coord/gate/outbound.go
@@ -28,12 +28,10 @@
 // trackOutbound updates a flow's state from a packet that the target sent.
 func (g *Gate) trackOutbound(now time.Time, f *flow, seg state.Segment) {
 	f.lastPacket = now
+	f.assumed = false
 	if (f.phase == offered && seg.Opens) || (f.phase == probing && !seg.Resets) {
 		g.markOpen(now, f, seg.Flow)
 	}
-	if f.phase == open && !seg.Opens && !seg.Resets {
-		g.markHeld(seg.Flow, f)
-	}
 	if seg.DataLen > 0 {
 		g.endRequest(now, f)
 	}
@@ -53,7 +51,7 @@
 	g.closeIfFinished(seg.Flow, f)
 }
 
-// markOpen records that the target has accepted a flow, or that a packet of a flow was not returned, and sends its location to its balancer.
+// markOpen records that the target holds a flow, and sends its location to the flow's owners and to its balancer.
 func (g *Gate) markOpen(now time.Time, f *flow, id state.FlowID) {
 	event := relay.EventAccepted
 	if f.phase == probing {
@@ -62,19 +60,7 @@
 	f.phase = open
 	g.openFlows++
 	g.actions.OnDecision(relay.Decision{Event: event, Flow: id, Peer: f.balancer, Age: now.Sub(f.createdAt), Count: g.openFlows})
-	g.confirm(now, id, f)
-}
-
-// markHeld records that the target holds a flow, and sends its location to the flow's owners.
-func (g *Gate) markHeld(id state.FlowID, f *flow) {
-	if f.held {
-		return
-	}
-	f.held = true
-	if !f.assumed {
-		g.sendToOwners(id, f)
-	}
-	f.assumed = false
+	g.sendLocations(now, id, f)
 }
 
 // discoverFlow adds an unknown flow on which the target sent a packet: in this way an agent that started after its target
--- a/core/coord/gate/owners.go
+++ b/core/coord/gate/owners.go
@@ -8,18 +8,14 @@
 	"monsoonstep/core/state"
 )
 
-// sendToOwners sends the flow's location to its owners, but for the balancer that has it already.
-func (g *Gate) sendToOwners(id state.FlowID, f *flow) {
+// sendLocations sends the flow's location to its owners and, with a load report, to the balancer that last forwarded a packet of it:
+// a balancer that sends a target many flows knows the target's load better than periodic reports can tell.
+func (g *Gate) sendLocations(now time.Time, id state.FlowID, f *flow) {
 	for _, owner := range g.owners.Of(id) {
 		if owner != f.balancer {
 			g.sendLocation(owner, id)
 		}
 	}
-}
-
-// confirm sends the flow's location, with a load report, to the balancer that last forwarded a packet of it: a balancer that sends a target
-// many flows knows the target's load better than periodic reports can tell.
-func (g *Gate) confirm(now time.Time, id state.FlowID, f *flow) {
 	if !f.balancer.IsValid() {
 		return
 	}
--- a/core/coord/gate/tick.go
+++ b/core/coord/gate/tick.go
@@ -32,9 +32,6 @@
 		case f.phase == probing && now.Sub(f.createdAt) > probeTimeout:
 			f.assumed = true
 			g.markOpen(now, f, id)
-			g.sendToOwners(id, f)
-		case f.phase == open && !f.held && f.established && now.Sub(f.establishedAt) > probeTimeout:
-			g.markHeld(id, f)
 		case f.phase == offered && idle > openTimeout:
 			g.removeFlow(id, f)
 		case f.phase == closed && idle > closedFlowTTL:
--- a/core/coord/gossip/config.go
+++ b/core/coord/gossip/config.go
@@ -16,8 +16,6 @@
 	syncPeriod time.Duration
 	// maxPause is the longest gap between two ticks within which others can't have declared this process dead.
 	maxPause time.Duration
-	// leftRetention is how long a member that left is still told to nodes that did not know it.
-	leftRetention time.Duration
 	// downRetention is how long the row of a member that is down is kept.
 	downRetention  time.Duration
 	maxPacketBytes int
@@ -88,12 +86,6 @@
 	return func(c *config) { c.bytesPerSecond = n }
 }
 
-// WithLeftRetention sets how long a member that left is still told to nodes that did not know it: a planned restart may bring it back. It
-// is zero by default.
-func WithLeftRetention(d time.Duration) Option {
-	return func(c *config) { c.leftRetention = d }
-}
-
 // tokenBucket limits the bytes that are sent; one token is one byte.
 type tokenBucket struct {
 	rate       float64
--- a/core/coord/gossip/machine.go
+++ b/core/coord/gossip/machine.go
@@ -82,8 +82,6 @@
 	index int
 	// deadAt is when a suspect is declared dead.
 	deadAt time.Time
-	// wasPresent is true once this node has known the member as present.
-	wasPresent bool
 	// changedAt is when the row was last changed, by this node's clock; for a member that is down, when it went down.
 	changedAt time.Time
 }
@@ -280,7 +278,7 @@
 	case KindPingRequest:
 		return m.handlePingRequest(now, from, msg)
 	case KindDigest, KindDiff:
-		return m.handleDigest(now, from, msg)
+		return m.handleDigest(from, msg)
 	default:
 		return nil
 	}
--- a/core/coord/gossip/merge.go
+++ b/core/coord/gossip/merge.go
@@ -8,7 +8,7 @@
 
 // mergeMembers merges the members of a message and spreads those that are new or newer. If the sender considers
 // a member present that this node knows to be down, the death is spread again, so that it reaches the sender.
-// A member that is down and not known here is ignored, unless it left within leftRetention.
+// A member that is down and not known here is ignored.
 func (m *Machine) mergeMembers(now time.Time, members []state.Member) {
 	for _, received := range members {
 		if received.ID == m.self.ID {
@@ -17,12 +17,9 @@
 		}
 		old, known := m.rows[received.ID]
 		if !known {
-			switch {
-			case received.Present():
+			if received.Present() {
 				m.setRow(now, received)
 				m.updates.addMember(received.ID)
-			case m.cfg.leftRetention > 0 && received.Health == state.HealthLeft && received.Gossip.IsValid():
-				m.setRow(now, received)
 			}
 			continue
 		}
@@ -80,7 +77,6 @@
 		r.deadAt = now.Add(m.suspicionTimeout())
 	}
 	if member.Present() {
-		r.wasPresent = true
 		m.digest[bucket] ^= memberHash(member)
 	}
 	switch {
--- a/core/coord/gossip/spread.go
+++ b/core/coord/gossip/spread.go
@@ -84,11 +84,11 @@
 
 // handleDigest replies with the items of the buckets that differ, as many as the byte budget allows.
 // Buckets are sent from a random start, so that items that exceed the budget are sent another time.
-func (m *Machine) handleDigest(now time.Time, from netip.AddrPort, msg Message) []Send {
+func (m *Machine) handleDigest(from netip.AddrPort, msg Message) []Send {
 	if msg.Digest == nil {
 		return nil
 	}
-	members, records := m.differingItems(now, msg.Digest)
+	members, records := m.differingItems(msg.Digest)
 	if len(members) == 0 && len(records) == 0 && m.digest == msg.Digest.Members && m.recordSet.Digest() == msg.Digest.Records {
 		return nil
 	}
@@ -112,9 +112,8 @@
 	return out
 }
 
-// differingItems returns the items of the buckets that differ from a remote digest, members that left within leftRetention included. Only
-// nodes that knew these as present tell of them, so that they are not passed on for ever.
-func (m *Machine) differingItems(now time.Time, remote *Digest) ([]state.Member, []state.Record) {
+// differingItems returns the items of the buckets that differ from a remote digest.
+func (m *Machine) differingItems(remote *Digest) ([]state.Member, []state.Record) {
 	var members []state.Member
 	start := m.rng.IntN(MemberBuckets)
 	differs := [MemberBuckets]bool{}
@@ -127,13 +126,6 @@
 			byBucket[bucket] = append(byBucket[bucket], r.Member)
 		}
 	}
-	for _, r := range m.rows {
-		left := r.Health == state.HealthLeft && r.wasPresent && now.Sub(r.changedAt) < m.cfg.leftRetention
-		if left && slices.Contains(differs[:], true) {
-			bucket := memberBucket(r.ID)
-			byBucket[bucket] = append(byBucket[bucket], r.Member)
-		}
-	}
 	if bucket := memberBucket(m.self.ID); differs[bucket] {
 		byBucket[bucket] = append(byBucket[bucket], m.self)
 	}
--- a/core/coord/steer/explore_test.go
+++ b/core/coord/steer/explore_test.go
@@ -194,7 +194,7 @@
 	b.process.Configure(b.f.now, c)
 	var members []state.Member
 	for _, a := range b.f.agents {
-		if a.member.Present() || a.member.Health == state.HealthLeft && b.f.now.Sub(a.leftAt) < steer.PlannedRestartWindow {
+		if a.member.Present() {
 			b.seen[a.member.ID] = true
 		}
 		if b.seen[a.member.ID] {
--- a/core/coord/steer/exploreagent_test.go
+++ b/core/coord/steer/exploreagent_test.go
@@ -26,7 +26,6 @@
 	late *gate.Heartbeat
 	// removed is set once the target has ended for good; the agent's process ends shortly after.
 	removed bool
-	leftAt time.Time
 	// disturbedAt is when the last unplanned fault of the instance ended.
 	disturbedAt time.Time
 }
@@ -149,7 +148,7 @@
 func (a *exploredAgent) stopFor(d time.Duration) {
 	a.process.Stop(a.f.now)
 	a.process = nil
-	a.member.Health, a.leftAt = state.HealthLeft, a.f.now
+	a.member.Health = state.HealthLeft
 	a.f.changed()
 	a.f.after(d, a.startProcess)
 }
@@ -196,7 +195,7 @@
 	a.f.after(300*time.Millisecond, func() {
 		a.process.Stop(a.f.now)
 		a.process = nil
-		a.member.Health, a.member.Phase, a.leftAt = state.HealthLeft, state.PhaseEmpty, a.f.now
+		a.member.Health, a.member.Phase = state.HealthLeft, state.PhaseEmpty
 		a.f.changed()
 	})
 }
--- a/core/coord/steer/members.go
+++ b/core/coord/steer/members.go
@@ -43,7 +43,7 @@
 // setMember applies the membership's state of one agent.
 func (b *Balancer) setMember(now time.Time, m state.Member) {
 	t := b.targets.byAddress[m.Flow]
-	if t == nil && !m.Present() && !mayReturn(m) {
+	if t == nil && !m.Present() {
 		return
 	}
 	if t == nil || t.service != m.Service {
@@ -73,12 +73,6 @@
 	t.region = m.Region
 }
 
-// mayReturn reports whether a member that is not present left in a way after which it may return beside the same target: it may then hold
-// flows, although this balancer never knew it as present.
-func mayReturn(m state.Member) bool {
-	return m.Health == state.HealthLeft && m.Phase != state.PhaseEmpty
-}
-
 // replaceTarget adds an entry for an agent at a new address, or for one of another service at a known address; the
 // flows of the former agent there are then lost.
 func (b *Balancer) replaceTarget(now time.Time, former *target, m state.Member) *target {
--- a/io/node/fleet.go
+++ b/io/node/fleet.go
@@ -8,7 +8,6 @@
 
 	"monsoonstep/core/coord/gossip"
 	"monsoonstep/core/coord/relay"
-	"monsoonstep/core/coord/steer"
 	"monsoonstep/core/coord/watch"
 	"monsoonstep/core/state"
 	"monsoonstep/io/logs"
@@ -78,8 +77,7 @@
 	self.Peer = s.Internal
 	member := state.Member{ID: state.NewInstanceID(s.Instance, state.Millis(started.UnixMilli())), Announcement: self}
 	machine := gossip.New(member, state.NewRecordSet(), uint64(started.UnixNano()),
-		gossip.WithProbePeriod(probePeriod), gossip.WithSuspicionTimeout(suspicionTimeout), gossip.WithBytesPerSecond(maxGossipBytesPerSecond),
-		gossip.WithLeftRetention(steer.PlannedRestartWindow))
+		gossip.WithProbePeriod(probePeriod), gossip.WithSuspicionTimeout(suspicionTimeout), gossip.WithBytesPerSecond(maxGossipBytesPerSecond))
 	return &fleet{
 		machine: machine, seeds: s.Seeds, log: log, started: started, alone: true, present: make(map[netip.AddrPort]struct{}),
 		evacuation: s.Evacuation,
@@ -151,14 +149,6 @@
 	return members, true
 }
 
-// withoutOldDepartures returns the members without those that left longer ago than a planned restart takes.
-func (f *fleet) withoutOldDepartures(now time.Time, members []state.Member) []state.Member {
-	return slices.DeleteFunc(slices.Clone(members), func(m state.Member) bool {
-		since, down := f.machine.DownSince(m.ID)
-		return m.Health == state.HealthLeft && down && now.Sub(since) > steer.PlannedRestartWindow
-	})
-}
-
 // introduce returns messages that introduce this node to an unknown peer from which a message was received: one of the two has
 // restarted, and the other has not noticed yet. It returns nil if the peer is known, this node has left, or the last introduction was less
 // than minIntroductionInterval ago.
