--- a/core/coord/steer/explore_test.go
+++ b/core/coord/steer/explore_test.go
@@ -293,6 +293,15 @@
 	})
 }
 
+// requestOnAll sends a request on each open flow that has not been idle for too long.
+func (f *exploredFleet) requestOnAll() {
+	for _, flow := range f.flows {
+		if flow.target != nil && !flow.reset && f.now.Sub(flow.lastSent) < idleLimit {
+			f.request(flow)
+		}
+	}
+}
+
 // isHeld reports whether the target at which the flow opened runs and holds it.
 func (flow *exploredFlow) isHeld() bool {
 	return flow.target != nil && flow.agent.target == flow.target && flow.target.holds[flow.id]
--- a/core/coord/steer/exploreorders_test.go
+++ b/core/coord/steer/exploreorders_test.go
@@ -21,11 +21,7 @@
 		return len(f.flows) < 200
 	}},
 	{"requests", func(f *exploredFleet) bool {
-		for _, flow := range f.flows {
-			if flow.target != nil && !flow.reset && f.now.Sub(flow.lastSent) < idleLimit {
-				f.request(flow)
-			}
-		}
+		f.requestOnAll()
 		return true
 	}},
 	{"restart an agent", restartAgent(500 * time.Millisecond)},
@@ -142,7 +138,8 @@
 	}
 }
 
-// explore plays a random order of events, each allowed kind as likely as the others, and returns what must not have happened.
+// explore plays a random order of events, in which each kind is as likely as the others, and at the end a request on each open flow. It
+// returns the fleet with its history and the violations.
 func explore(seed uint64, kinds []exploredEvent, events int) *exploredFleet {
 	f := newExploredFleet(seed)
 	f.open()
@@ -157,7 +154,7 @@
 		f.run(waits[f.rng.IntN(len(waits))])
 	}
 	f.run(removalTime)
-	exploredEventKinds[1].run(f)
+	f.requestOnAll()
 	f.run(maxTimeToReset + time.Second)
 	return f
 }
