steer: log the location of a searched flow at an agent that the balancer does not know

The line reset of a flow that its target holds has count=3 of four agents, whether the owners did not know the flow either, or an owner named its agent and the balancer dropped the answer (handleLocation drops the location at an agent that is not in its list).

Change: the decision unknownHolder, logged and counted only while the flow is being searched for, so that locations that reach a starting balancer before its members do are not logged one by one. Its counter is monsoonstep_decisions_total{event="unknownHolder"}.

Cost: store calls 0, bytes 0, state 0; one log line a dropped location.

--- a/core/coord/relay/decision.go
+++ b/core/coord/relay/decision.go
@@ -53,6 +53,8 @@
 	EventTargetFailing
 	// EventSearchDropped: a balancer dropped its oldest search because there were too many.
 	EventSearchDropped
+	// EventUnknownHolder: a balancer ignored the location of a flow that it searches for, since it does not know the agent there.
+	EventUnknownHolder
 	// EventCount is the number of events.
 	EventCount
 )
@@ -62,7 +64,7 @@
 	names := [EventCount]string{
 		"placed", "refused", "noRoute", "reset", "search", "found", "doubted", "accepted", "turnedAway", "notHeld",
 		"adopted", "ended", "targetReady", "targetDraining", "targetGone", "agentSilent", "agentHeard", "waits",
-		"targetFailing", "searchDropped",
+		"targetFailing", "searchDropped", "unknownHolder",
 	}
 	if e >= EventCount {
 		return "unknown"
--- a/core/coord/steer/messages.go
+++ b/core/coord/steer/messages.go
@@ -58,6 +58,9 @@
 func (b *Balancer) handleLocation(now time.Time, from netip.AddrPort, m relay.Message) {
 	t := b.targets.byAddress[m.Holder]
 	if t == nil || t.service.ID() != m.Service {
+		if _, searching := b.searches.byFlow[m.Flow]; searching {
+			b.actions.OnDecision(relay.Decision{Event: relay.EventUnknownHolder, Flow: m.Flow, Peer: m.Holder, Config: b.config.Version})
+		}
 		return
 	}
 	b.queue.Remove(m.Flow)
--- a/core/coord/steer/search_test.go
+++ b/core/coord/steer/search_test.go
@@ -247,3 +247,21 @@
 	h.is.Equal(h.count(relay.KindOpen), 1)
 	h.is.Equal(h.count(relay.KindData), 1)
 }
+
+// Guards against a log that does not tell why a search ignored the location of a flow: a reset after it can't be explained then.
+func TestLocationAtUnknownAgentIsLoggedDuringASearch(t *testing.T) {
+	h := newHarness(t)
+	h.settle(1, 2, 3)
+	h.b.SetBalancers([]netip.AddrPort{self, otherBalancer})
+	h.b.HandlePacket(h.now, dataSegment(flow(1)))
+	h.receiveLocation(otherBalancer, agent(9), flow(1))
+	h.receiveLocation(otherBalancer, agent(9), flow(2)) // nobody searches for this one
+	var logged []relay.Decision
+	for _, d := range h.decisions {
+		if d.Event == relay.EventUnknownHolder {
+			logged = append(logged, d)
+		}
+	}
+	h.is.Equal(len(logged), 1)
+	h.is.Equal(logged[0].Peer, agent(9))
+}
