gossip, steer: nodes that start learn of agents that left and may return

What callers saw: an agent was restarted as planned, 1.5 s away, while its target ran on; a balancer that was added meanwhile reset those of the agent's open flows whose packets it got, with the requests on them.

Cause: digests and diffs have only members that are present, and so have the counts of agents by which a node checks that it knows them all. A balancer that starts while an agent is away knows all agents but that one and counts its list as complete. So it drops the location that an owner names, has the denials of all agents that it knows, and resets the flow.

Ruled out: the owners had lost the flows (unknownHolder); the balancer knew the agent and presumed it dead (no line about its health); present agents denied flows of their own (all flows are served after the return).

Change: for 8 s (steer.PlannedRestartWindow) after an agent left as planned beside a target, it counts in the agent counts that nodes compare, and the reply to a digest that differs, or whose sender counts fewer agents, has it with the time since it left. Who learns of it so passes it on with its age. Balancers add it as an agent that left at that time (steer.AddDepartures): its flows are kept, asked for and reset as at balancers that knew it.

Cost: store calls 0; about 80 bytes an agent that left within 8 s in replies to digests that differ, none while nobody restarts; state one pointer an agent. A lost flow of an agent that left for good waits up to 8 s at balancers that started meanwhile too, as at all others.

--- a/core/coord/gossip/config.go
+++ b/core/coord/gossip/config.go
@@ -16,6 +16,8 @@
 	syncPeriod time.Duration
 	// maxPause is the longest gap between two ticks within which others can't have declared this process dead.
 	maxPause time.Duration
+	// departureWindow is how long an agent that left as planned is told to nodes that did not know it, and counted.
+	departureWindow time.Duration
 	// downRetention is how long the row of a member that is down is kept.
 	downRetention  time.Duration
 	maxPacketBytes int
@@ -86,6 +88,12 @@
 	return func(c *config) { c.bytesPerSecond = n }
 }
 
+// WithDepartureWindow sets how long an agent that left as planned may take to return; until then, nodes that did not know it are told of
+// it, and it counts as an agent that may hold flows. It is zero by default: departures are not told.
+func WithDepartureWindow(d time.Duration) Option {
+	return func(c *config) { c.departureWindow = d }
+}
+
 // tokenBucket limits the bytes that are sent; one token is one byte.
 type tokenBucket struct {
 	rate       float64
--- a/core/coord/gossip/machine.go
+++ b/core/coord/gossip/machine.go
@@ -31,6 +31,8 @@
 	rows map[state.InstanceID]*row
 	// present lists the rows of members that are alive or suspected, in no particular order.
 	present []*row
+	// departed lists the rows of agents that left as planned within departureWindow.
+	departed []*row
 	// digest holds for each bucket the XOR of the hashes of the members in it: self and the present rows.
 	digest [MemberBuckets]uint32
 	// version rises with every change of what Members returns.
@@ -252,6 +254,7 @@
 	var out []Send
 	out = m.tickProbe(now, out)
 	m.expireSuspects(now)
+	m.expireDepartures(now)
 	out = m.tickUpdates(now, out)
 	out = m.tickSync(now, out)
 	return out
@@ -263,6 +266,7 @@
 		return nil
 	}
 	m.mergeMembers(now, msg.Members)
+	m.mergeDepartures(now, msg.Departures)
 	m.recordAgentReport(msg.AgentCount)
 	for _, r := range msg.Records {
 		m.MergeRecord(r)
@@ -278,7 +282,7 @@
 	case KindPingRequest:
 		return m.handlePingRequest(now, from, msg)
 	case KindDigest, KindDiff:
-		return m.handleDigest(from, msg)
+		return m.handleDigest(now, from, msg)
 	default:
 		return nil
 	}
@@ -310,9 +314,9 @@
 	return covered*completeDenominator >= received*completeNumerator
 }
 
-// countAgents returns how many agents that may hold flows are present: those in phase empty have no target, and often leave soon
-// after, which not all nodes learn at the same time. Two processes at one address count once: the agent was restarted, and its
-// former process is not yet known to be down.
+// countAgents returns how many agents may hold flows: those that are present and those that may return. Those in phase empty have no
+// target, and often leave soon after, which not all nodes learn at the same time. Two processes at one address count once: the agent was
+// restarted, and its former process left or is not yet known to be down.
 func (m *Machine) countAgents() int {
 	if m.agentCountVersion == m.version && m.version != 0 {
 		return m.agentCount
@@ -326,6 +330,9 @@
 			agentAddresses[r.Gossip] = struct{}{}
 		}
 	}
+	for _, r := range m.departed {
+		agentAddresses[r.Gossip] = struct{}{}
+	}
 	m.agentCount = len(agentAddresses)
 	m.agentCountVersion = m.version
 	return m.agentCount
--- a/core/coord/gossip/merge.go
+++ b/core/coord/gossip/merge.go
@@ -8,7 +8,7 @@
 
 // mergeMembers merges the members of a message and spreads those that are new or newer. If the sender considers
 // a member present that this node knows to be down, the death is spread again, so that it reaches the sender.
-// A member that is down and not known here is ignored.
+// A member that is down and not known here is ignored; see mergeDepartures for those that may return.
 func (m *Machine) mergeMembers(now time.Time, members []state.Member) {
 	for _, received := range members {
 		if received.ID == m.self.ID {
@@ -89,6 +89,7 @@
 			m.stats.Deaths++
 		}
 	}
+	m.recordDeparture(now, r)
 	m.version++
 }
 
--- a/core/coord/gossip/message.go
+++ b/core/coord/gossip/message.go
@@ -37,9 +37,11 @@
 	// Target is the member to ping, in a ping request; TargetAddress is its gossip address.
 	Target        state.InstanceID
 	TargetAddress netip.AddrPort
-	// AgentCount is how many agents that may hold flows the sender considers present, each address counted once; zero if not reported.
+	// AgentCount is how many agents may hold flows, as the sender knows them, each address counted once; zero if not reported.
 	AgentCount int
 	Members    []state.Member
+	// Departures are agents that left as planned and may return.
+	Departures []state.Departure
 	Records    []state.Record
 	// Digest is set in a digest, and in the first diff in reply to one.
 	Digest *Digest
@@ -66,6 +68,7 @@
 	headerBytes     = 64
 	memberBaseBytes = 68
 	downMemberBytes = 16
+	departureBytes  = 12
 	recordBaseBytes = 16
 	digestBytes     = 4*(MemberBuckets+state.RecordBuckets) + 8
 )
@@ -80,12 +83,17 @@
 
 func recordBytes(r state.Record) int { return recordBaseBytes + len(r.Key) + len(r.Value) }
 
+func departureSize(d state.Departure) int { return departureBytes + memberBytes(d.Member) }
+
 // size returns an upper bound on the encoded and sealed size of a message in bytes.
 func (m Message) size() int {
 	n := headerBytes + len(m.From) + len(m.To) + len(m.Target)
 	for _, member := range m.Members {
 		n += memberBytes(member)
 	}
+	for _, departure := range m.Departures {
+		n += departureSize(departure)
+	}
 	for _, record := range m.Records {
 		n += recordBytes(record)
 	}
--- a/core/coord/gossip/spread.go
+++ b/core/coord/gossip/spread.go
@@ -82,14 +82,16 @@
 	return &Digest{Members: m.digest, Records: m.recordSet.Digest()}
 }
 
-// handleDigest replies with the items of the buckets that differ, as many as the byte budget allows.
+// handleDigest replies with the items of the buckets that differ and with departures, as many as the byte budget allows.
 // Buckets are sent from a random start, so that items that exceed the budget are sent another time.
-func (m *Machine) handleDigest(from netip.AddrPort, msg Message) []Send {
+func (m *Machine) handleDigest(now time.Time, from netip.AddrPort, msg Message) []Send {
 	if msg.Digest == nil {
 		return nil
 	}
 	members, records := m.differingItems(msg.Digest)
-	if len(members) == 0 && len(records) == 0 && m.digest == msg.Digest.Members && m.recordSet.Digest() == msg.Digest.Records {
+	departures := m.departuresFor(now, msg)
+	equal := m.digest == msg.Digest.Members && m.recordSet.Digest() == msg.Digest.Records
+	if equal && len(departures) == 0 {
 		return nil
 	}
 	var out []Send
@@ -97,11 +99,12 @@
 	if msg.Kind == KindDigest {
 		reply.Digest = m.currentDigest()
 	}
-	for len(members) > 0 || len(records) > 0 || reply.Digest != nil {
+	for len(members) > 0 || len(departures) > 0 || len(records) > 0 || reply.Digest != nil {
 		if m.budget.tokens <= 0 {
 			m.stats.Deferred++
 			return out
 		}
+		departures = m.fillDepartures(&reply, departures)
 		members, records = m.fill(&reply, members, records)
 		reply.From = m.self.ID
 		reply.AgentCount = m.countAgents()
@@ -161,6 +164,18 @@
 	return members, records
 }
 
+// fillDepartures moves departures into a message until it is full, and returns the rest. As in fill, a message without a digest gets at
+// least one item.
+func (m *Machine) fillDepartures(msg *Message, departures []state.Departure) []state.Departure {
+	size := msg.size()
+	for len(departures) > 0 && (size+departureSize(departures[0]) <= m.cfg.maxPacketBytes || size <= headerBytes*2) {
+		size += departureSize(departures[0])
+		msg.Departures = append(msg.Departures, departures[0])
+		departures = departures[1:]
+	}
+	return departures
+}
+
 // addUpdates adds updates to a message as long as they fit, the least sent first; with recordsOnly, only those of records.
 func (m *Machine) addUpdates(msg *Message, recordsOnly bool) {
 	limit := retransmitFactor * (bits.Len(uint(m.Size())) + 1)
--- a/core/coord/steer/members.go
+++ b/core/coord/steer/members.go
@@ -40,12 +40,32 @@
 	return m.ID.Started() > old.ID.Started()
 }
 
-// setMember applies the membership's state of one agent.
+// AddDepartures adds agents that left as planned before this balancer knew them. They may return beside targets that hold flows, so their
+// flows are kept like those of agents that leave while the balancer knows them.
+func (b *Balancer) AddDepartures(now time.Time, departures []state.Departure) {
+	for _, d := range departures {
+		if b.targets.byAddress[d.Member.Flow] != nil {
+			continue
+		}
+		b.updateTarget(now, d.Member)
+		b.targets.byAddress[d.Member.Flow].changedAt = now.Add(-d.Age)
+	}
+	if len(departures) > 0 {
+		b.targets.index()
+	}
+}
+
+// setMember applies the membership's state of one agent. One that is not present and was not known is left out; see AddDepartures for
+// those that may return.
 func (b *Balancer) setMember(now time.Time, m state.Member) {
-	t := b.targets.byAddress[m.Flow]
-	if t == nil && !m.Present() {
-		return
+	if b.targets.byAddress[m.Flow] != nil || m.Present() {
+		b.updateTarget(now, m)
 	}
+}
+
+// updateTarget updates the entry of an agent, and adds it if there is none.
+func (b *Balancer) updateTarget(now time.Time, m state.Member) {
+	t := b.targets.byAddress[m.Flow]
 	if t == nil || t.service != m.Service {
 		t = b.replaceTarget(now, t, m)
 	}
--- a/core/coord/steer/target.go
+++ b/core/coord/steer/target.go
@@ -36,9 +36,9 @@
 	// responsiveSettleTime is how long most agents must have been responsive before one counts as unresponsive. When the link of a
 	// balancer was cut or full, the messages that were held up arrive one after another.
 	responsiveSettleTime = time.Second
-	// plannedRestartWindow is how long the flows of an agent that left on purpose are kept: a planned restart brings it
+	// PlannedRestartWindow is how long the flows of an agent that left on purpose are kept: a planned restart brings it
 	// back beside the same target within seconds.
-	plannedRestartWindow = 8 * time.Second
+	PlannedRestartWindow = 8 * time.Second
 	// noReplyBackoff is how long a target that did not answer an opening packet gets no new flows.
 	noReplyBackoff = time.Second
 	// fullBackoff is how long a target that refused a flow as full gets no new flows, or no late ones if the refused
@@ -96,13 +96,13 @@
 
 // presumedDead reports whether the target's flows can be reset: its agent died, without having left on purpose, and has
 // sent nothing for a while; or it left, and either its target was down or it has not come back within
-// plannedRestartWindow.
+// PlannedRestartWindow.
 func (t *target) presumedDead(now time.Time) bool {
 	switch t.health {
 	case state.HealthDead:
 		return now.Sub(t.lastHeardAt) > max(minDeadAgentTimeout, t.reportIntervals(deadAgentIntervals))
 	case state.HealthLeft:
-		return t.load.Reason == relay.ReasonTargetDown || t.phase == state.PhaseEmpty || now.Sub(t.changedAt) > plannedRestartWindow
+		return t.load.Reason == relay.ReasonTargetDown || t.phase == state.PhaseEmpty || now.Sub(t.changedAt) > PlannedRestartWindow
 	default:
 		return false
 	}
--- a/core/proto/hops/gossip.go
+++ b/core/proto/hops/gossip.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"time"
 
 	"google.golang.org/protobuf/encoding/protowire"
 
@@ -22,6 +23,13 @@
 	gossipRecord
 	gossipDigest
 	gossipAgentCount
+	gossipDeparture
+)
+
+// The field numbers of a state.Departure.
+const (
+	departureMember protowire.Number = iota + 1
+	departureAgeMillis
 )
 
 // The field numbers of a state.Member.
@@ -63,6 +71,9 @@
 	for _, member := range m.Members {
 		b = appendBytes(b, gossipMember, appendMember(nil, member))
 	}
+	for _, departure := range m.Departures {
+		b = appendBytes(b, gossipDeparture, appendDeparture(nil, departure))
+	}
 	for _, record := range m.Records {
 		b = appendBytes(b, gossipRecord, appendRecord(nil, record))
 	}
@@ -90,6 +101,11 @@
 	return appendVarint(b, memberStoreUnreachable, protowire.EncodeBool(m.StoreUnreachable))
 }
 
+func appendDeparture(b []byte, d state.Departure) []byte {
+	b = appendBytes(b, departureMember, appendMember(nil, d.Member))
+	return appendVarint(b, departureAgeMillis, uint64(max(0, d.Age.Milliseconds())))
+}
+
 func appendRecord(b []byte, r state.Record) []byte {
 	b = appendString(b, recordKey, string(r.Key))
 	b = appendVarint(b, recordRevision, uint64(r.Revision))
@@ -145,11 +161,12 @@
 		m.AgentCount = int(min(f.value, maxCount))
 	case gossipMember:
 		var member state.Member
-		err = forEachField(f.bytes, func(g field) error { return setMemberField(&member, g) })
-		if err == nil && (member.ID == "" || len(member.ID) > maxInstanceIDBytes) {
-			err = errs.New(errs.BadInput, "gossip message has a member whose ID has %d bytes; 1 to %d are allowed", len(member.ID), maxInstanceIDBytes)
-		}
+		member, err = decodeMember(f.bytes)
 		m.Members = append(m.Members, member)
+	case gossipDeparture:
+		var departure state.Departure
+		departure, err = decodeDeparture(f.bytes)
+		m.Departures = append(m.Departures, departure)
 	case gossipRecord:
 		var record state.Record
 		err = forEachField(f.bytes, func(g field) error { setRecordField(&record, g); return nil })
@@ -160,6 +177,35 @@
 	return err
 }
 
+func decodeMember(b []byte) (state.Member, error) {
+	var m state.Member
+	if err := forEachField(b, func(f field) error { return setMemberField(&m, f) }); err != nil {
+		return m, err
+	}
+	if m.ID == "" || len(m.ID) > maxInstanceIDBytes {
+		return m, errs.New(errs.BadInput, "gossip message has a member whose ID has %d bytes; 1 to %d are allowed", len(m.ID), maxInstanceIDBytes)
+	}
+	return m, nil
+}
+
+func decodeDeparture(b []byte) (state.Departure, error) {
+	var d state.Departure
+	err := forEachField(b, func(f field) error {
+		var err error
+		switch f.number {
+		case departureMember:
+			d.Member, err = decodeMember(f.bytes)
+		case departureAgeMillis:
+			d.Age = time.Duration(min(f.value, maxCount)) * time.Millisecond
+		}
+		return err
+	})
+	if err == nil && d.Member.ID == "" {
+		err = errs.New(errs.BadInput, "gossip message has a departure without a member")
+	}
+	return d, err
+}
+
 func setMemberField(m *state.Member, f field) error {
 	var err error
 	switch f.number {
--- a/core/proto/hops/hops_test.go
+++ b/core/proto/hops/hops_test.go
@@ -91,6 +91,12 @@
 				Since: 1, AbsentFrom: 2, AbsentTo: 3,
 			},
 		}},
+		Departures: []state.Departure{{
+			Member: state.Member{ID: "e/5", Incarnation: 6, Health: state.HealthLeft, Announcement: state.Announcement{
+				Role: state.RoleAgent, Service: "atelier", Gossip: address, Flow: address, Phase: state.PhaseServing,
+			}},
+			Age: 1234 * time.Millisecond,
+		}},
 		Records: []state.Record{{Key: "config", Revision: 8, Value: []byte("v")}},
 		Digest:  &gossip.Digest{},
 	}
@@ -116,6 +122,13 @@
 	is.True(!ok) // an unknown type
 }
 
+// Guards against a departure that names no agent, which would enter the membership without an ID.
+func TestGossipWithADepartureWithoutMemberIsRejected(t *testing.T) {
+	is := is.New(t)
+	_, err := hops.DecodeGossip(hops.AppendGossip(nil, gossip.Message{Kind: gossip.KindDiff, From: "b/1", Departures: []state.Departure{{Age: time.Second}}}))
+	is.True(err != nil)
+}
+
 // A member with a health, phase or role of a later version, or with an ID that no instance has, must not enter the membership.
 func TestGossipWithInvalidMembersIsRejected(t *testing.T) {
 	is := is.New(t)
--- a/io/node/balancer.go
+++ b/io/node/balancer.go
@@ -127,6 +127,7 @@
 // members passes changed members on to the parts of the balancer.
 func (b *Balancer) members(now time.Time, members []state.Member) {
 	b.steer.SetMembers(now, members)
+	b.steer.AddDepartures(now, b.fleet.machine.Departures(now))
 	b.steer.SetBalancers(relay.Addresses(balancers(members)))
 	b.config.setBalancers(watchCandidates(members))
 	b.config.fetchIfOutdated()
--- a/io/node/fleet.go
+++ b/io/node/fleet.go
@@ -8,6 +8,7 @@
 
 	"monsoonstep/core/coord/gossip"
 	"monsoonstep/core/coord/relay"
+	"monsoonstep/core/coord/steer"
 	"monsoonstep/core/coord/watch"
 	"monsoonstep/core/state"
 	"monsoonstep/io/logs"
@@ -77,7 +78,8 @@
 	self.Peer = s.Internal
 	member := state.Member{ID: state.NewInstanceID(s.Instance, state.Millis(started.UnixMilli())), Announcement: self}
 	machine := gossip.New(member, state.NewRecordSet(), uint64(started.UnixNano()),
-		gossip.WithProbePeriod(probePeriod), gossip.WithSuspicionTimeout(suspicionTimeout), gossip.WithBytesPerSecond(maxGossipBytesPerSecond))
+		gossip.WithProbePeriod(probePeriod), gossip.WithSuspicionTimeout(suspicionTimeout), gossip.WithBytesPerSecond(maxGossipBytesPerSecond),
+		gossip.WithDepartureWindow(steer.PlannedRestartWindow))
 	return &fleet{
 		machine: machine, seeds: s.Seeds, log: log, started: started, alone: true, present: make(map[netip.AddrPort]struct{}),
 		evacuation: s.Evacuation,
