steer: the explorer runs the real membership

The explorer told balancers of members by a model, in which a change reached all of them after 100 ms.

Change: each process of the explorer has a gossip.Machine, driven with the timing of io/node: probes, suspicion, joins at the balancers, comparisons of digests, the departure announced by a process that leaves, the phase of an agent. The checks, bounds, kinds of events and the 700 orders a group are the same.

--- a/core/coord/steer/explore_test.go
+++ b/core/coord/steer/explore_test.go
@@ -14,10 +14,8 @@
 )
 
 const (
-	// spreadTime is how long a change of the membership or of the configuration takes to reach all processes.
+	// spreadTime is how long a change of the configuration takes to reach all balancers.
 	spreadTime = 100 * time.Millisecond
-	// deadAfter is how long a frozen agent is silent before the membership calls it dead.
-	deadAfter = 1700 * time.Millisecond
 	// freezeTime is how long an agent is frozen.
 	freezeTime = 3500 * time.Millisecond
 	// restartGap is the time between two planned restarts.
@@ -37,7 +35,9 @@
 // exploredFleet is a small fleet of balancers and agents with models of their targets and clients, in simulated time. It runs the real
 // balancers and gates, and checks what becomes of the flows while events come in a random order.
 type exploredFleet struct {
-	rng       *rand.Rand
+	rng *rand.Rand
+	// gossipRNG draws the seeds at which processes join.
+	gossipRNG *rand.Rand
 	now       time.Time
 	pending   eventQueue
 	balancers []*exploredBalancer
@@ -58,9 +58,7 @@
 	f       *exploredFleet
 	address netip.AddrPort
 	process *steer.Balancer
-	id      state.InstanceID
-	// seen has the members that the process has known as present.
-	seen map[state.InstanceID]bool
+	node    *exploredNode
 }
 
 // exploredFlow is a flow and its client.
@@ -76,7 +74,7 @@
 }
 
 func newExploredFleet(seed uint64) *exploredFleet {
-	f := &exploredFleet{rng: rand.New(rand.NewPCG(seed, 7)), now: start, config: config(1, service)}
+	f := &exploredFleet{rng: rand.New(rand.NewPCG(seed, 7)), gossipRNG: newGossipRNG(seed), now: start, config: config(1, service)}
 	for n := range byte(3) {
 		f.balancers = append(f.balancers, &exploredBalancer{f: f, address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, n + 1}), 7700)})
 		svc := service
@@ -130,11 +128,13 @@
 
 func (f *exploredFleet) tick() {
 	for _, b := range f.running() {
+		b.node.tick()
+		b.process.SetMembershipComplete(b.node.machine.MembershipComplete())
 		b.process.Tick(f.now)
 	}
 	for _, a := range f.agents {
 		if a.process != nil && a.frozenAt.IsZero() {
-			a.process.Tick(f.now)
+			a.tick()
 		}
 	}
 }
@@ -150,29 +150,17 @@
 	return state.NewInstanceID(state.InstanceName(name), f.serial)
 }
 
-// spread tells all processes of the present members and configuration.
-func (f *exploredFleet) spread() {
-	var list []relay.Balancer
-	for _, b := range f.running() {
-		list = append(list, relay.Balancer{Address: b.address, Process: b.id})
-	}
-	for _, b := range f.running() {
-		b.learn(list)
-	}
-	for _, a := range f.agents {
-		if a.process != nil {
-			a.deliver(func() { a.process.SetBalancers(f.now, list) })
+// spreadConfig tells all balancers of the present configuration.
+func (f *exploredFleet) spreadConfig() {
+	f.after(spreadTime, func() {
+		for _, b := range f.running() {
+			b.process.Configure(f.now, f.config)
 		}
-	}
+	})
 }
 
-// changed spreads a change.
-func (f *exploredFleet) changed() { f.after(spreadTime, f.spread) }
-
 // start starts a process of the balancer, which knows nothing of what a former one did.
 func (b *exploredBalancer) start() {
-	b.id = b.f.nextID("balancer")
-	b.seen = make(map[state.InstanceID]bool)
 	var process *steer.Balancer
 	process = steer.New(b.f.now, steer.Settings{Self: b.address, DataCentre: "a", FlowTTL: flowTTL}, steer.Actions{
 		Send: func(to netip.AddrPort, m relay.Message) { b.f.send(b.address, to, m) },
@@ -184,25 +172,20 @@
 		OnDecision: func(relay.Decision) {},
 	})
 	b.process = process
-	process.SetMembershipComplete(true)
-	b.f.changed()
+	b.node = newExploredNode(b.f, "balancer", state.Announcement{Role: state.RoleBalancer, Gossip: b.address, Flow: b.address}, b.learn)
+	b.node.tick()
+	b.f.after(spreadTime, func() {
+		if b.process == process {
+			process.Configure(b.f.now, b.f.config)
+		}
+	})
 }
 
-// learn tells the balancer of the configuration and the members. It hears of members that are not present only if it knew them before.
-func (b *exploredBalancer) learn(list []relay.Balancer) {
-	c := b.f.config
-	b.process.Configure(b.f.now, c)
-	var members []state.Member
-	for _, a := range b.f.agents {
-		if a.member.Present() {
-			b.seen[a.member.ID] = true
-		}
-		if b.seen[a.member.ID] {
-			members = append(members, a.member)
-		}
-	}
+// learn tells the balancer of the members.
+func (b *exploredBalancer) learn(members []state.Member) {
 	b.process.SetMembers(b.f.now, members)
-	b.process.SetBalancers(relay.Addresses(list))
+	b.process.AddDepartures(b.f.now, b.node.machine.Departures(b.f.now))
+	b.process.SetBalancers(relay.Addresses(presentBalancers(members)))
 }
 
 // send delivers a message to the process at an address.
@@ -348,7 +331,7 @@
 	if b.process == nil || len(b.f.running()) == 1 {
 		return
 	}
+	b.node.send(b.node.machine.Leave())
 	b.process = nil
-	b.f.changed()
 	b.f.after(500*time.Millisecond, b.start)
 }
--- a/core/coord/steer/exploreagent_test.go
+++ b/core/coord/steer/exploreagent_test.go
@@ -17,7 +17,7 @@
 	address  netip.AddrPort
 	service  state.ServiceName
 	process  *gate.Gate
-	member   state.Member
+	node     *exploredNode
 	frozenAt time.Time
 	// held are the deliveries that wait until the process is no longer frozen.
 	held   []func()
@@ -67,10 +67,26 @@
 	})
 	a.process = process
 	a.held = nil
-	a.member = state.Member{ID: a.f.nextID("agent-" + a.address.String()), Health: state.HealthAlive, Announcement: state.Announcement{
-		Role: state.RoleAgent, Service: a.service, DataCentre: "a", Flow: a.address, Gossip: a.address, Phase: state.PhaseServing,
-	}}
-	a.f.changed()
+	a.node = newExploredNode(a.f, "agent-"+a.address.String(), state.Announcement{
+		Role: state.RoleAgent, Service: a.service, DataCentre: "a", Flow: a.address, Gossip: a.address, Phase: process.Phase(),
+	}, func(members []state.Member) { process.SetBalancers(a.f.now, presentBalancers(members)) })
+	a.node.tick()
+}
+
+// tick advances the agent and announces its phase.
+func (a *exploredAgent) tick() {
+	a.node.tick()
+	a.process.Tick(a.f.now)
+	if phase := a.process.Phase(); phase != a.node.machine.Self().Phase {
+		a.node.machine.Announce(func(announced *state.Announcement) { announced.Phase = phase })
+	}
+}
+
+// leave ends the agent's process as planned.
+func (a *exploredAgent) leave() {
+	a.process.Stop(a.f.now)
+	a.node.send(a.node.machine.Leave())
+	a.process = nil
 }
 
 // checkTarget tells the gate whether something listens at the target's address.
@@ -146,10 +162,7 @@
 
 // stopFor stops the agent's process as planned and starts it again after d.
 func (a *exploredAgent) stopFor(d time.Duration) {
-	a.process.Stop(a.f.now)
-	a.process = nil
-	a.member.Health = state.HealthLeft
-	a.f.changed()
+	a.leave()
 	a.f.after(d, a.startProcess)
 }
 
@@ -167,10 +180,6 @@
 // freeze freezes the agent's process for freezeTime.
 func (a *exploredAgent) freeze() {
 	a.frozenAt, a.disturbedAt = a.f.now, a.f.now.Add(freezeTime)
-	a.f.after(deadAfter, func() {
-		a.member.Health = state.HealthDead
-		a.f.changed()
-	})
 	a.f.after(freezeTime, func() {
 		a.frozenAt = time.Time{}
 		a.process.ProcessPaused(freezeTime)
@@ -179,8 +188,6 @@
 		for _, run := range held {
 			run()
 		}
-		a.member.Health = state.HealthAlive
-		a.f.changed()
 	})
 }
 
@@ -192,10 +199,5 @@
 	id := a.target.id
 	a.target, a.removed = nil, true
 	a.process.Deregister(a.f.now, id)
-	a.f.after(300*time.Millisecond, func() {
-		a.process.Stop(a.f.now)
-		a.process = nil
-		a.member.Health, a.member.Phase = state.HealthLeft, state.PhaseEmpty
-		a.f.changed()
-	})
+	a.f.after(300*time.Millisecond, a.leave)
 }
