gate: an agent claims all flows only of a target that can't have run before it

What callers saw: a late heartbeat of a crashed target arrived at an agent that had just been restarted; every flow of the present target, which was 1.3 s old when the agent stopped, was reset at its next packet although it was held.

Cause: the agent takes the late heartbeat for that of its target. The next one, of the present target, looks like a start that it has seen, so it denies all flows that it does not know. The guard compared the uptime and the number of heartbeats; the number can't exceed its bound in a target's first three periods. A late heartbeat with number 1 was taken for a start without any check.

Ruled out: the target had lost the flows (the stand-in holds them to the end); the agent reset or closed them (no line); the balancer left this agent out (its notHeld comes first).

The uptime alone decides; it also decides about a heartbeat with number 1 and about one that replaces another.

Cost: store calls 0, bytes 0, state 0. If the clock was set forward, the agent asks its target about unknown flows for up to the TTL of flows.

--- a/core/coord/gate/target.go
+++ b/core/coord/gate/target.go
@@ -51,9 +51,6 @@
 // time.
 const maxTargetLead = 200 * time.Millisecond
 
-// maxHeartbeatsPerPeriod is how many heartbeats a target may send in a heartbeat period: it repeats one that was not acknowledged.
-const maxHeartbeatsPerPeriod = 2
-
 // target is the gate's record of its target.
 type target struct {
 	// known is set once a heartbeat has been accepted.
@@ -121,7 +118,7 @@
 // of the former start was a late one: the flows may then be those of the present target.
 func (g *Gate) replaceTarget(now time.Time, h Heartbeat) {
 	former := g.target
-	formerWasLate := former.known && g.ranBefore(now, h, former.lastHeartbeat)
+	formerWasLate := former.known && ranBefore(now, h, former.lastHeartbeat)
 	pastIDs := former.pastIDs
 	if pastIDs == nil {
 		pastIDs = make(map[TargetID]bool)
@@ -140,24 +137,26 @@
 		known:         true,
 		id:            h.ID,
 		startedAt:     h.StartedAt,
-		knowsAllFlows: former.known && !formerWasLate || h.Sequence <= firstSequence || g.startedWithAgent(now, h),
+		knowsAllFlows: g.sawStart(now, h, former.known && !formerWasLate),
 		pastIDs:       pastIDs,
 	}
 }
 
-// ranBefore reports whether the target of a heartbeat was already running at a time, by its uptime and by the number of its heartbeats:
-// the uptime alone is too long if the clock was set forward.
-func (g *Gate) ranBefore(now time.Time, h Heartbeat, at time.Time) bool {
-	since := now.Sub(at)
-	periods := uint64(since/g.settings.HeartbeatPeriod) + 1
-	return h.Uptime > since+maxTargetLead && h.Sequence > firstSequence+periods*maxHeartbeatsPerPeriod
+// ranBefore reports whether the target of a heartbeat may have been running at a time already, by its uptime. The first heartbeat of a
+// start shows that it was not, since the uptime is too long if the clock was set forward.
+func ranBefore(now time.Time, h Heartbeat, at time.Time) bool {
+	return h.Uptime > now.Sub(at)+maxTargetLead && h.Sequence > firstSequence
 }
 
-// startedWithAgent reports whether the target started with this agent or after it, so that no earlier process of the agent can
-// have brought it flows. If the clock was set back between the two starts the reported uptime is too short, so a target that has
-// finished its warm-up does not count as recently started.
-func (g *Gate) startedWithAgent(now time.Time, h Heartbeat) bool {
-	return h.WarmupLeft > 0 && h.Uptime >= 0 && h.Uptime <= now.Sub(g.startedAt)+maxTargetLead
+// sawStart reports whether the target of a heartbeat is certain to have started with this agent or after it, so that no earlier process of
+// the agent can have brought it flows. Its uptime must say so if it is known: neither the first heartbeat of a start nor one that replaces a
+// former target proves it, since a delayed heartbeat of a former target looks like both. If the clock was set back between the two starts
+// the uptime is too short, so it counts only for a target in its warm-up, at its first heartbeat, or in place of a former one.
+func (g *Gate) sawStart(now time.Time, h Heartbeat, replaces bool) bool {
+	if h.Uptime > now.Sub(g.startedAt)+maxTargetLead {
+		return false
+	}
+	return h.Sequence <= firstSequence || replaces || h.WarmupLeft > 0 && h.Uptime >= 0
 }
 
 // updateTarget updates the target's record from a heartbeat of its current start. wasAccepting tells whether the target accepted
--- a/core/coord/gate/target_test.go
+++ b/core/coord/gate/target_test.go
@@ -59,6 +59,54 @@
 	h.is.Equal(h.delivered, []string{"data"})
 }
 
+// Guards against the same in the first periods of the present target (review/4), whose few heartbeats do not show that it ran before, and
+// against a late heartbeat that was the first one of its target: both look like a start that the agent has seen.
+func TestLateHeartbeatBesideAYoungTargetCostsNoFlows(t *testing.T) {
+	late := func(sequence uint64) gate.Heartbeat {
+		return gate.Heartbeat{ID: "i-1", StartedAt: 1, Uptime: 8 * time.Second, Sequence: sequence, Service: service, Slots: 2}
+	}
+	for _, sequence := range []uint64{1, 4} {
+		for _, present := range []uint64{2, 3} {
+			h := newHarness(t)
+			h.now = h.now.Add(100 * time.Millisecond)
+			h.g.Heartbeat(h.now, late(sequence))
+			h.is.True(!h.g.Summary(h.now).KnowsAllFlows)
+			h.receive(relay.KindData, dataSegment(flow(1)))
+			h.advance(300*time.Millisecond, "", 0)
+			h.is.Equal(h.g.OpenFlows(), 1)
+			h.clear()
+			h.is.Equal(h.g.Heartbeat(h.now, gate.Heartbeat{
+				ID: "i-2", StartedAt: 5, Uptime: time.Duration(present) * 900 * time.Millisecond, Sequence: present, Service: service, Slots: 2,
+				WarmupLeft: time.Second,
+			}), gate.HeartbeatAccepted)
+			h.is.Equal(len(h.resets), 0)
+			h.is.Equal(h.g.OpenFlows(), 1)
+			h.receive(relay.KindData, dataSegment(flow(2)))
+			h.is.Equal(len(h.sentOfKind(relay.KindNotFound)), 0)
+			h.is.Equal(h.delivered, []string{"data"})
+		}
+	}
+}
+
+// Guards against an agent that takes each former target for a late heartbeat: a target that started after the last heartbeat of the former
+// one holds none of its flows, so these are reset at once, and other flows are denied, also if its first heartbeat is lost.
+func TestFlowsOfAFormerTargetAreResetAtOnce(t *testing.T) {
+	for _, sequence := range []uint64{1, 2} {
+		h := newHarness(t)
+		h.sendHeartbeat("i-1", 1, false)
+		h.establish(flow(1))
+		h.advance(2*time.Second, "", 0)
+		h.clear()
+		h.g.Heartbeat(h.now, gate.Heartbeat{
+			ID: "i-2", StartedAt: 2001, Uptime: 900 * time.Millisecond, Sequence: sequence, Service: service, Slots: 2, WarmupLeft: time.Second,
+		})
+		h.is.Equal(h.resets, []state.FlowID{flow(1)})
+		h.is.True(h.g.Summary(h.now).KnowsAllFlows)
+		h.receive(relay.KindData, dataSegment(flow(2)))
+		h.is.Equal(len(h.sentOfKind(relay.KindNotFound)), 1)
+	}
+}
+
 // The clock may be set back between two starts. A heartbeat under an unknown id with an earlier start time is from a new start
 // if the former one has become unresponsive.
 func TestNewStartIsAcceptedAfterClockWentBack(t *testing.T) {
--- a/core/coord/gate/warmup.go
+++ b/core/coord/gate/warmup.go
@@ -24,7 +24,7 @@
 // gate has not seen the target start, an earlier process of the agent may have accepted flows until this one started.
 func (g *Gate) startWarmupWindow(now time.Time, h Heartbeat) {
 	g.warmup.TargetStarted(now.Add(-max(0, h.Uptime)))
-	if h.Sequence > firstSequence && !g.startedWithAgent(now, h) {
+	if !g.sawStart(now, h, false) {
 		g.warmup.AssumeFull(g.startedAt)
 	}
 }
