--- a/core/coord/gate/gate.go
+++ b/core/coord/gate/gate.go
@@ -156,11 +156,6 @@
 	// resetSequence is the sequence number that the client last acknowledged or, while that is unknown, the one that the target
 	// last sent. A reset must carry a number near it, or the client ignores it.
 	resetSequence uint32
-	// held is set once the target has sent a packet that it sends only on a flow that it holds, or has kept a packet of the client for
-	// probeTimeout. Until then the flow may be open at another target that accepted a copy of the opening packet.
-	held bool
-	// establishedAt is when established was set by a packet of the client.
-	establishedAt time.Time
 	// established is set once the client has acknowledged a packet of the target, or the target has sent data: both ends take
 	// part, so the flow is more than an offer that another target may have accepted.
 	established bool
@@ -181,9 +176,6 @@
 	returnPacket bool
 }
 
-// isHeld reports whether it is certain that the target holds the flow.
-func (f *flow) isHeld() bool { return f.phase == open && (f.held || f.assumed) }
-
 // New returns a gate for an agent that starts now.
 func New(now time.Time, settings Settings, actions Actions) *Gate {
 	return &Gate{
@@ -214,7 +206,7 @@
 	}
 	g.balancers = processes
 	for id, f := range g.flows {
-		if !f.isHeld() {
+		if f.phase != open {
 			continue
 		}
 		previous := previousOwners.Of(id)
--- a/core/coord/gate/inbound.go
+++ b/core/coord/gate/inbound.go
@@ -29,7 +29,7 @@
 	for _, id := range m.Flows {
 		f, known := g.flows[id]
 		switch {
-		case known && f.isHeld():
+		case known && f.phase == open:
 			g.sendLocation(from, id)
 		case !known && certain:
 			reply.Flows = append(reply.Flows, id)
@@ -114,12 +114,8 @@
 	f, known := g.flows[seg.Flow]
 	if known {
 		f.balancer = from
-		if m.Kind == relay.KindProbe && f.phase == open && !f.isHeld() {
-			g.openFlows--
-			f.phase, f.createdAt, f.returnPacket = probing, now, false
-		}
 		g.deliverPacket(now, f, seg)
-		if m.Kind == relay.KindProbe && f.isHeld() {
+		if m.Kind == relay.KindProbe && f.phase == open {
 			g.sendLocation(from, seg.Flow)
 		}
 		return
@@ -150,9 +146,6 @@
 	f.lastPacket = now
 	if seg.Acknowledges {
 		f.resetSequence = seg.Acknowledged
-		if !f.established {
-			f.establishedAt = now
-		}
 		f.established = true
 	}
 	if seg.DataLen > 0 {
--- a/core/coord/gate/outbound.go
+++ b/core/coord/gate/outbound.go
@@ -32,7 +32,6 @@
 	if (f.phase == offered && seg.Opens) || (f.phase == probing && !seg.Resets) {
 		g.markOpen(now, f, seg.Flow)
 	}
-	f.held = f.held || f.phase == open && !seg.Opens && !seg.Resets
 	if seg.DataLen > 0 {
 		g.endRequest(now, f)
 	}
--- a/core/coord/gate/tick.go
+++ b/core/coord/gate/tick.go
@@ -32,8 +32,6 @@
 		case f.phase == probing && now.Sub(f.createdAt) > probeTimeout:
 			f.assumed = true
 			g.markOpen(now, f, id)
-		case f.phase == open && !f.held && !f.establishedAt.IsZero() && now.Sub(f.establishedAt) > probeTimeout:
-			f.held = true
 		case f.phase == offered && idle > openTimeout:
 			g.removeFlow(id, f)
 		case f.phase == closed && idle > closedFlowTTL:
--- a/core/coord/steer/messages.go
+++ b/core/coord/steer/messages.go
@@ -69,7 +69,7 @@
 		b.handleConfirmation(now, t, p, m.Load)
 	}
 	switch {
-	case p != nil && p.confirmed && p.target != t && (p.target.running() || p.target.health == state.HealthLeft && !p.target.presumedDead(now)):
+	case p != nil && p.confirmed && p.target != t && p.target.running():
 		// A flow does not move. A delayed copy of the opening packet has opened it at a second target too, whose answer
 		// the client ignores. Should the first location be the wrong one, that agent will report that its target does
 		// not hold the flow.
