--- a/core/coord/steer/exploreorders_test.go
+++ b/core/coord/steer/exploreorders_test.go
@@ -166,7 +166,6 @@
 
 // checkOrders plays random orders of some kinds of events, and reports what must not have happened.
 func checkOrders(t *testing.T, kinds []exploredEvent, events int) {
-	t.Parallel()
 	failed := 0
 	for seed := range uint64(exploredOrders) {
 		f := explore(seed, kinds, events)
