--- a/core/coord/gate/gate_test.go
+++ b/core/coord/gate/gate_test.go
@@ -220,3 +220,16 @@
 	h.g.SetBalancers(h.now, restarted)
 	h.is.Equal(len(h.sent), 0)
 }
+
+// Guards against a balancer that takes an agent for unresponsive, and resets open flows there, because its probes for a flow that has just
+// ended are never answered.
+func TestProbeForAnEndedFlowIsAnswered(t *testing.T) {
+	h := newHarness(t)
+	h.sendHeartbeat("t1", 1, false)
+	h.establish(flow(1))
+	h.receive(relay.KindData, state.Segment{Flow: flow(1), Resets: true, Packet: []byte("rst")})
+	h.clear()
+	h.receive(relay.KindProbe, dataSegment(flow(1)))
+	h.returnPacket(dataSegment(flow(1)))
+	h.is.Equal(len(h.sentOfKind(relay.KindNotFound)), 1)
+}
