--- /dev/null
+++ b/review/stand2/main.go
@@ -0,0 +1,61 @@
+// Command stand2 has the stand-ins for the cases of this review that are scripts: the platform's store and routers, endpoints and clients.
+// It starts the project's node programs by the commands of the deploy file, on loopback addresses.
+package main
+
+import (
+	"fmt"
+	"os"
+)
+
+// The exit codes of a case.
+const (
+	held   = 0
+	broken = 1
+	notRun = 2
+)
+
+func main() {
+	if len(os.Args) < 2 {
+		fmt.Fprintln(os.Stderr, "usage: stand2 frozen-offer RECORD | endpoint ...")
+		os.Exit(notRun)
+	}
+	switch os.Args[1] {
+	case "endpoint":
+		if err := runEndpoint(os.Args[2:]); err != nil {
+			fmt.Fprintln(os.Stderr, "endpoint:", err)
+			os.Exit(notRun)
+		}
+	case "frozen-offer":
+		os.Exit(play(os.Args[2], frozenOffer))
+	default:
+		os.Exit(notRun)
+	}
+}
+
+// play starts a deployment, plays a case on it, and returns the exit code.
+func play(record string, run func(f *fleet, trouble bool) (violations int, err error)) int {
+	trouble := os.Getenv("TROUBLE") != "0"
+	f, err := newFleet(record)
+	if f != nil {
+		defer f.stop()
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "could not run:", err)
+		return notRun
+	}
+	violations, err := run(f, trouble)
+	switch {
+	case err != nil:
+		fmt.Fprintln(os.Stderr, "could not run:", err)
+		f.record("could not run: %v", err)
+		return notRun
+	case violations > 0:
+		fmt.Println("broken:", violations)
+		f.record("broken: %d", violations)
+		return broken
+	default:
+		fmt.Println("held")
+		f.record("held")
+		return held
+	}
+}
