--- a/review/stand2/client.go
+++ b/review/stand2/client.go
@@ -202,7 +202,14 @@
 // poll checks the readiness of the nodes twice per second, as the platform does.
 func (f *fleet) poll(ctx context.Context) error {
 	client := &http.Client{Timeout: 400 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
-	for group.Sleep(ctx, 500*time.Millisecond) {
+	for {
+		f.mu.Lock()
+		f.nextPoll = time.Now().Add(500 * time.Millisecond)
+		next := f.nextPoll
+		f.mu.Unlock()
+		if !group.Sleep(ctx, time.Until(next)) {
+			return nil
+		}
 		var wait sync.WaitGroup
 		for _, n := range f.fronts {
 			wait.Add(1)
@@ -224,9 +231,8 @@
 				}
 			})
 		}
-		wait.Wait()
+		f.g.Task(wait.Wait)
 	}
-	return nil
 }
 
 // route returns the address of the node to which the router of a zone sends a packet.
--- a/review/stand2/fleet.go
+++ b/review/stand2/fleet.go
@@ -63,6 +63,8 @@
 
 	mu   sync.Mutex
 	file *os.File
+	// nextPoll is when the routers check the readiness next.
+	nextPoll time.Time
 	// endpointLines holds the lines that the endpoints wrote.
 	endpointLines []string
 }
@@ -113,8 +115,8 @@
 	}
 }
 
-// newFleet starts a deployment and waits until it serves.
-func newFleet(recordFile string) (*fleet, error) {
+// newFleet starts a deployment, with some spare fronts in its first zone.
+func newFleet(recordFile string, spares int) (*fleet, error) {
 	file, err := os.Create(recordFile)
 	if err != nil {
 		return nil, err
@@ -136,7 +138,7 @@
 		return nil, err
 	}
 	g.Go("store", func(context.Context) error { return http.Serve(listener, f.store) })
-	f.layOut()
+	f.layOut(spares)
 	f.store.put("op/config", f.config(7))
 	for _, n := range append(append([]*node{}, f.fronts...), f.sides...) {
 		if err := f.startNode(n); err != nil {
@@ -174,9 +176,13 @@
 	return fmt.Errorf("no free ports")
 }
 
-func (f *fleet) layOut() {
+func (f *fleet) layOut(spares int) {
 	for z, has := range zones {
-		for n := range has.fronts {
+		fronts := has.fronts
+		if z == 0 {
+			fronts += spares
+		}
+		for n := range fronts {
 			f.fronts = append(f.fronts, &node{name: fmt.Sprintf("front-%d-%d", z+1, n+1), role: "balancer", ip: f.ip(z+1, 10+n), zone: z})
 		}
 		for n := range has.atelier + has.galerie {
@@ -187,7 +193,7 @@
 			f.sides = append(f.sides, &node{name: fmt.Sprintf("side-%d-%d", z+1, n+1), role: "agent", ip: f.ip(z+1, 40+n), zone: z, service: service})
 		}
 	}
-	for _, i := range []int{0, 2, 4} {
+	for _, i := range []int{0, 2 + spares, 4 + spares} {
 		f.seeds = append(f.seeds, at(f.fronts[i].ip, f.ports.control))
 	}
 }
@@ -306,6 +312,40 @@
 	_ = n.app.Process.Signal(s)
 }
 
+// lose ends all processes of a side for good.
+func (f *fleet) lose(n *node) {
+	f.mu.Lock()
+	n.gone = true
+	f.mu.Unlock()
+	f.signal(n, syscall.SIGKILL)
+	_ = n.app.Process.Kill()
+}
+
+// restart stops a node as planned and waits until its new process has started.
+func (f *fleet) restart(n *node) error {
+	f.mu.Lock()
+	former := n.cmd
+	f.mu.Unlock()
+	f.signal(n, syscall.SIGTERM)
+	for range 1200 {
+		time.Sleep(5 * time.Millisecond)
+		f.mu.Lock()
+		started := n.cmd != former
+		f.mu.Unlock()
+		if started {
+			return nil
+		}
+	}
+	return fmt.Errorf("%s did not end within graceS", n.name)
+}
+
+// inRotation reports whether the routers use a front.
+func (f *fleet) inRotation(n *node) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return n.misses < 2
+}
+
 // remove ends the endpoint of a side as planned, and then the side's node.
 func (f *fleet) remove(n *node) {
 	f.record("endpoint %s is to leave", n.endpoint)
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -16,7 +16,7 @@
 
 func main() {
 	if len(os.Args) < 2 {
-		fmt.Fprintln(os.Stderr, "usage: stand2 frozen-offer RECORD | endpoint ...")
+		fmt.Fprintln(os.Stderr, "usage: stand2 frozen-offer|lost-offer RECORD | endpoint ...")
 		os.Exit(notRun)
 	}
 	switch os.Args[1] {
@@ -25,17 +25,19 @@
 			fmt.Fprintln(os.Stderr, "endpoint:", err)
 			os.Exit(notRun)
 		}
+	case "lost-offer":
+		os.Exit(play(os.Args[2], 1, lostOffer))
 	case "frozen-offer":
-		os.Exit(play(os.Args[2], frozenOffer))
+		os.Exit(play(os.Args[2], 0, frozenOffer))
 	default:
 		os.Exit(notRun)
 	}
 }
 
 // play starts a deployment, plays a case on it, and returns the exit code.
-func play(record string, run func(f *fleet, trouble bool) (violations int, err error)) int {
+func play(record string, spares int, run func(f *fleet, trouble bool) (violations int, err error)) int {
 	trouble := os.Getenv("TROUBLE") != "0"
-	f, err := newFleet(record)
+	f, err := newFleet(record, spares)
 	if f != nil {
 		defer f.stop()
 	}
