--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -16,7 +16,7 @@
 
 func main() {
 	if len(os.Args) < 2 {
-		fmt.Fprintln(os.Stderr, "usage: stand2 frozen-offer|lost-offer RECORD | endpoint ...")
+		fmt.Fprintln(os.Stderr, "usage: stand2 frozen-offer|lost-offer|clock-back RECORD | endpoint ...")
 		os.Exit(notRun)
 	}
 	switch os.Args[1] {
@@ -25,6 +25,8 @@
 			fmt.Fprintln(os.Stderr, "endpoint:", err)
 			os.Exit(notRun)
 		}
+	case "clock-back":
+		os.Exit(play(os.Args[2], 0, clockBack))
 	case "lost-offer":
 		os.Exit(play(os.Args[2], 1, lostOffer))
 	case "frozen-offer":
