--- a/review/stand2/endpoint.go
+++ b/review/stand2/endpoint.go
@@ -28,9 +28,7 @@
 	drainTime = 3500 * time.Millisecond
 	// unackedDrainTime is how long it serves if nobody acknowledges that.
 	unackedDrainTime = 8 * time.Second
-	// workTime is how long it works on a request.
-	workTime = 40 * time.Millisecond
-	slots    = 7
+	slots            = 7
 	// maxRetransmissions is how often it sends an answer again.
 	maxRetransmissions = 8
 )
@@ -53,11 +51,13 @@
 	ports           ports
 	// clockAhead is how far the time of day was ahead when the endpoint started.
 	clockAhead time.Duration
-	started    time.Time
-	conn       *net.UDPConn
-	g          *group.Group
-	client     *http.Client
-	busy       chan struct{}
+	// work is how long it works on a request.
+	work    time.Duration
+	started time.Time
+	conn    *net.UDPConn
+	g       *group.Group
+	client  *http.Client
+	busy    chan struct{}
 
 	mu       sync.Mutex
 	flows    map[flowKey]*endpointFlow
@@ -83,6 +83,7 @@
 	set.IntVar(&base, "base", 0, "first port")
 	set.IntVar(&serial, "serial", 0, "number of the start")
 	set.DurationVar(&e.clockAhead, "ahead", 0, "how far the time of day is ahead at the start")
+	set.DurationVar(&e.work, "work", 40*time.Millisecond, "time of work on a request")
 	if err := set.Parse(args); err != nil {
 		return err
 	}
@@ -287,7 +288,7 @@
 func (e *endpoint) run(key flowKey, f *endpointFlow, request string) {
 	e.busy <- struct{}{}
 	e.say("runs %s", request)
-	time.Sleep(workTime)
+	time.Sleep(e.work)
 	<-e.busy
 	e.mu.Lock()
 	answer := packet{flags: flagAck, src: key.virtual, dst: key.client, seq: f.sent, ack: f.next, data: []byte(strings.Join([]string{e.id, e.service, request}, "|"))}
--- a/review/stand2/fleet.go
+++ b/review/stand2/fleet.go
@@ -58,6 +58,8 @@
 	fronts []*node
 	sides  []*node
 	serial int
+	// work is how long the endpoints work on a request.
+	work time.Duration
 	// began is the start of the recorded time.
 	began time.Time
 
@@ -116,7 +118,7 @@
 }
 
 // newFleet starts a deployment, with some spare fronts in its first zone.
-func newFleet(recordFile string, spares int) (*fleet, error) {
+func newFleet(recordFile string, spares int, work time.Duration) (*fleet, error) {
 	file, err := os.Create(recordFile)
 	if err != nil {
 		return nil, err
@@ -129,7 +131,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{g: g, dir: dir, file: file, began: time.Now(), store: newStore()}
+	f := &fleet{g: g, dir: dir, file: file, began: time.Now(), store: newStore(), work: work}
 	if err := f.findPorts(); err != nil {
 		return nil, err
 	}
@@ -259,7 +261,7 @@
 	f.serial++
 	n.endpoint = fmt.Sprintf("i-%02d", f.serial)
 	cmd := exec.Command(self, "endpoint", "--id", n.endpoint, "--service", n.service, "--ip", n.ip, "--base", fmt.Sprint(f.ports.internal),
-		"--serial", fmt.Sprint(f.serial), "--ahead", ahead.String())
+		"--serial", fmt.Sprint(f.serial), "--ahead", ahead.String(), "--work", f.work.String())
 	cmd.Stdout, cmd.Stderr = &endpointOutput{f: f}, os.Stderr
 	if err := cmd.Start(); err != nil {
 		return err
@@ -302,16 +304,6 @@
 	_ = n.cmd.Process.Signal(s)
 }
 
-// freeze stops or continues all processes of a side.
-func (f *fleet) freeze(n *node, frozen bool) {
-	s := syscall.SIGCONT
-	if frozen {
-		s = syscall.SIGSTOP
-	}
-	f.signal(n, s)
-	_ = n.app.Process.Signal(s)
-}
-
 // lose ends all processes of a side for good.
 func (f *fleet) lose(n *node) {
 	f.mu.Lock()
@@ -346,21 +338,6 @@
 	return n.misses < 2
 }
 
-// remove ends the endpoint of a side as planned, and then the side's node.
-func (f *fleet) remove(n *node) {
-	f.record("endpoint %s is to leave", n.endpoint)
-	_ = n.app.Process.Signal(syscall.SIGUSR1)
-	f.g.Task(func() {
-		for n.app.ProcessState == nil {
-			time.Sleep(10 * time.Millisecond)
-		}
-		f.mu.Lock()
-		n.gone = true
-		f.mu.Unlock()
-		f.signal(n, syscall.SIGTERM)
-	})
-}
-
 // stop ends all processes and, unless REVIEW_KEEP is set, removes the logs.
 func (f *fleet) stop() {
 	f.mu.Lock()
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"os"
+	"time"
 )
 
 // The exit codes of a case.
@@ -16,7 +17,7 @@
 
 func main() {
 	if len(os.Args) < 2 {
-		fmt.Fprintln(os.Stderr, "usage: stand2 frozen-offer|lost-offer|clock-back RECORD | endpoint ...")
+		fmt.Fprintln(os.Stderr, "usage: stand2 assumed-open|lost-offer|clock-back RECORD | endpoint ...")
 		os.Exit(notRun)
 	}
 	switch os.Args[1] {
@@ -26,20 +27,20 @@
 			os.Exit(notRun)
 		}
 	case "clock-back":
-		os.Exit(play(os.Args[2], 0, clockBack))
+		os.Exit(play(os.Args[2], 0, 40*time.Millisecond, clockBack))
 	case "lost-offer":
-		os.Exit(play(os.Args[2], 1, lostOffer))
-	case "frozen-offer":
-		os.Exit(play(os.Args[2], 0, frozenOffer))
+		os.Exit(play(os.Args[2], 1, 40*time.Millisecond, lostOffer))
+	case "assumed-open":
+		os.Exit(play(os.Args[2], 0, 150*time.Millisecond, assumedOpen))
 	default:
 		os.Exit(notRun)
 	}
 }
 
 // play starts a deployment, plays a case on it, and returns the exit code.
-func play(record string, spares int, run func(f *fleet, trouble bool) (violations int, err error)) int {
+func play(record string, spares int, work time.Duration, run func(f *fleet, trouble bool) (violations int, err error)) int {
 	trouble := os.Getenv("TROUBLE") != "0"
-	f, err := newFleet(record, spares)
+	f, err := newFleet(record, spares, work)
 	if f != nil {
 		defer f.stop()
 	}
