--- a/review/stand2/fleet.go
+++ b/review/stand2/fleet.go
@@ -228,14 +228,19 @@
 	cmd := exec.Command("target/monsoonstep-node", n.role)
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "MONSOONSTEP_NODE_FILE=" + path}
 	cmd.Stdout, cmd.Stderr = log, log
+	f.mu.Lock()
+	if n.gone {
+		f.mu.Unlock()
+		return log.Close()
+	}
 	if err := cmd.Start(); err != nil {
+		f.mu.Unlock()
 		return err
 	}
-	_ = log.Close()
-	f.mu.Lock()
 	n.cmd = cmd
 	f.recordLocked("%s starts", n.name)
 	f.mu.Unlock()
+	_ = log.Close()
 	f.g.Task(func() {
 		_ = cmd.Wait()
 		f.record("%s ends", n.name)
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -48,6 +50,16 @@
 		fmt.Fprintln(os.Stderr, "could not run:", err)
 		return notRun
 	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	f.g.Task(func() {
+		select {
+		case <-signals:
+			f.stop()
+			os.Exit(notRun)
+		case <-f.g.Context().Done():
+		}
+	})
 	violations, err := run(f, trouble)
 	switch {
 	case err != nil:
