logs: the evidence for a flow's location

The log had 'reset peer=... count=0': a reset from a placement, but not whether the agent had evidence for it, so these could not be told apart: an agent that had confirmed the flow, one that only got no packet back within 60 ms, and an offer that was never answered.

A KindLocation now says if it rests on an assumption (one varint field, 2 bytes, only then), and a placement has its evidence in place of a flag. 'adopted', 'found' and resets without a search log it.

--- a/core/coord/gate/gate.go
+++ b/core/coord/gate/gate.go
@@ -176,6 +176,14 @@
 	returnPacket bool
 }
 
+// evidence returns what it rests on that an open flow is open at the target.
+func (f *flow) evidence() relay.Evidence {
+	if f.assumed {
+		return relay.EvidenceAssumed
+	}
+	return relay.EvidenceConfirmed
+}
+
 // New returns a gate for an agent that starts now.
 func New(now time.Time, settings Settings, actions Actions) *Gate {
 	return &Gate{
@@ -212,7 +220,7 @@
 		previous := previousOwners.Of(id)
 		for _, owner := range g.owners.Of(id) {
 			if started[owner] || !slices.Contains(previous, owner) {
-				g.sendLocation(owner, id)
+				g.sendLocation(owner, id, f)
 			}
 		}
 	}
--- a/core/coord/gate/inbound.go
+++ b/core/coord/gate/inbound.go
@@ -30,7 +30,7 @@
 		f, known := g.flows[id]
 		switch {
 		case known && f.phase == open:
-			g.sendLocation(from, id)
+			g.sendLocation(from, id, f)
 		case !known && certain:
 			reply.Flows = append(reply.Flows, id)
 		default:
@@ -116,7 +116,7 @@
 		f.balancer = from
 		g.deliverPacket(now, f, seg)
 		if m.Kind == relay.KindProbe && f.phase == open {
-			g.sendLocation(from, seg.Flow)
+			g.sendLocation(from, seg.Flow, f)
 		}
 		return
 	}
--- a/core/coord/gate/outbound.go
+++ b/core/coord/gate/outbound.go
@@ -59,7 +59,11 @@
 	}
 	f.phase = open
 	g.openFlows++
-	g.actions.OnDecision(relay.Decision{Event: event, Flow: id, Peer: f.balancer, Age: now.Sub(f.createdAt), Count: g.openFlows})
+	d := relay.Decision{Event: event, Flow: id, Peer: f.balancer, Age: now.Sub(f.createdAt), Count: g.openFlows}
+	if event == relay.EventDiscovered {
+		d.Evidence = f.evidence()
+	}
+	g.actions.OnDecision(d)
 	g.sendLocations(now, id, f)
 }
 
--- a/core/coord/relay/decision.go
+++ b/core/coord/relay/decision.go
@@ -88,6 +88,8 @@
 	// Count is a number whose meaning depends on the event: targets considered, targets that don't hold the flow, agents that have
 	// not replied, flows in the queue, or open flows.
 	Count int
+	// Evidence is what the location rests on that the decision is about, for EventDiscovered, EventFound and an EventReset without a search.
+	Evidence Evidence
 	// Unasked is how many running agents a search left out, since their targets were taken not to hold the flow, for an EventReset.
 	Unasked int
 }
--- a/core/coord/relay/message.go
+++ b/core/coord/relay/message.go
@@ -141,6 +141,14 @@
 // MaxFlows is the maximum number of flows in one message, so that it fits into a datagram of 1,200 bytes.
 const MaxFlows = 80
 
+// Evidence returns the evidence of a KindLocation.
+func (m Message) Evidence() Evidence {
+	if m.Assumed {
+		return EvidenceAssumed
+	}
+	return EvidenceConfirmed
+}
+
 // Message is one datagram between two nodes.
 type Message struct {
 	Kind Kind
@@ -151,6 +159,8 @@
 	Config state.ConfigVersion
 	// Holder is the address of the agent that holds the flow, in a KindLocation.
 	Holder netip.AddrPort
+	// Assumed is true in a KindLocation that rests on EvidenceAssumed. All others rest on EvidenceConfirmed.
+	Assumed bool
 	// LatencyObjective is the latency within which a request of the flow should be answered, in a KindOpen.
 	LatencyObjective time.Duration
 	// Late is true in a KindOpen whose client has already waited for longer than the latency objective.
--- a/core/coord/steer/messages.go
+++ b/core/coord/steer/messages.go
@@ -69,26 +69,26 @@
 		b.handleConfirmation(now, t, p, m.Load)
 	}
 	switch {
-	case p != nil && p.confirmed && p.target != t && p.target.running():
+	case p != nil && p.located() && p.target != t && p.target.running():
 		// A flow does not move. A delayed copy of the opening packet has opened it at a second target too, whose answer
 		// the client ignores. Should the first location be the wrong one, that agent will report that its target does
 		// not hold the flow.
 		return
 	case p != nil:
 		p.target = t
-		p.confirmed = true
+		p.evidence = m.Evidence()
 	default:
-		b.flows[m.Flow] = &placement{target: t, since: now, confirmed: true}
+		b.flows[m.Flow] = &placement{target: t, since: now, evidence: m.Evidence()}
 	}
 	if s, searching := b.searches.byFlow[m.Flow]; searching {
-		b.concludeFound(now, s, t, from == m.Holder && slices.Contains(s.probed, t))
+		b.concludeFound(now, s, t, m.Evidence(), from == m.Holder && slices.Contains(s.probed, t))
 	}
 }
 
 // handleConfirmation applies the load with which a target's agent confirms that it holds a flow, whose placement is p; nil if the
 // flow has none here.
 func (b *Balancer) handleConfirmation(now time.Time, t *target, p *placement, load relay.Load) {
-	if p != nil && p.target == t && !p.confirmed {
+	if p != nil && p.target == t && !p.located() {
 		t.offerAnswered()
 	}
 	b.setLoad(now, t, load)
@@ -98,12 +98,13 @@
 // with a lookup miss.
 func (b *Balancer) handleLookup(from netip.AddrPort, m relay.Message) {
 	p := b.flows[m.Flow]
-	if p == nil || !p.confirmed {
+	if p == nil || !p.located() {
 		b.actions.Send(from, relay.Message{Kind: relay.KindLookupMiss, Flow: m.Flow})
 		return
 	}
 	b.actions.Send(from, relay.Message{
 		Kind: relay.KindLocation, Flow: m.Flow, Holder: p.target.address, Service: p.target.service.ID(),
+		Assumed: p.evidence == relay.EvidenceAssumed,
 	})
 }
 
@@ -123,7 +124,7 @@
 // handleRefused offers a new flow that a target refused to another target.
 func (b *Balancer) handleRefused(now time.Time, from netip.AddrPort, m relay.Message, seg state.Segment) {
 	p := b.flows[m.Flow]
-	if p == nil || p.confirmed || p.target.address != from || !seg.Opens {
+	if p == nil || p.located() || p.target.address != from || !seg.Opens {
 		return
 	}
 	p.target.offerAnswered()
--- a/core/coord/steer/place.go
+++ b/core/coord/steer/place.go
@@ -31,7 +31,7 @@
 func (b *Balancer) placeAt(now time.Time, seg state.Segment, p *placement, t *target, considered int) {
 	p.target = t
 	p.since = now
-	p.confirmed = false
+	p.evidence = relay.EvidenceOffered
 	b.flows[seg.Flow] = p
 	b.queue.Remove(seg.Flow)
 	t.unansweredOffers++
@@ -87,7 +87,7 @@
 // did not answer within confirmTimeout, is evacuated, or is not in a region that the route allows now.
 func (b *Balancer) handleRetransmission(now time.Time, route state.Route, seg state.Segment, p *placement) {
 	allowed := route.Allows(p.target.region) && !p.target.evacuated()
-	if p.confirmed || now.Sub(p.since) < confirmTimeout && allowed {
+	if p.located() || now.Sub(p.since) < confirmTimeout && allowed {
 		b.offer(p.target, seg, b.isLate(now, route, seg, p.queuedAt))
 		return
 	}
--- a/core/coord/steer/search.go
+++ b/core/coord/steer/search.go
@@ -305,10 +305,11 @@
 
 // concludeFound ends a search and sends the kept packets to the holder, without the first one if a probe has delivered
 // it.
-func (b *Balancer) concludeFound(now time.Time, s *search, t *target, delivered bool) {
+func (b *Balancer) concludeFound(now time.Time, s *search, t *target, evidence relay.Evidence, delivered bool) {
 	b.searches.remove(s.segment.Flow)
 	b.actions.OnDecision(relay.Decision{
 		Event: relay.EventFound, Flow: s.segment.Flow, Peer: t.address, Config: b.config.Version, Age: now.Sub(s.since),
+		Evidence: evidence,
 	})
 	for i, seg := range s.kept {
 		if i == 0 && delivered {
--- a/core/coord/steer/steer.go
+++ b/core/coord/steer/steer.go
@@ -80,8 +80,8 @@
 	target *target
 	// since is when the flow was assigned to the target, or its location learnt.
 	since time.Time
-	// confirmed is true once the agent has confirmed that its target has the flow open.
-	confirmed bool
+	// evidence is what it rests on that the target holds the flow.
+	evidence relay.Evidence
 	// queuedAt is when the flow was queued; zero if it was not.
 	queuedAt time.Time
 	// unanswered is true if a target was offered the flow and did not answer: it may still accept it.
@@ -92,6 +92,9 @@
 	tried []*target
 }
 
+// located reports whether an agent has said that its target holds the flow.
+func (p *placement) located() bool { return p.evidence >= relay.EvidenceAssumed }
+
 // New returns a balancer that starts at the given time.
 func New(now time.Time, settings Settings, actions Actions) *Balancer {
 	b := &Balancer{
@@ -208,7 +211,7 @@
 // dropFlow resets a flow whose agent is presumed dead or unresponsive, and deletes its placement.
 func (b *Balancer) dropFlow(now time.Time, seg state.Segment, p *placement) {
 	delete(b.flows, seg.Flow)
-	b.reset(seg, relay.Decision{Peer: p.target.address, Age: relay.AgeOf(now, p.target.lastReportAt)})
+	b.reset(seg, relay.Decision{Peer: p.target.address, Evidence: p.evidence, Age: relay.AgeOf(now, p.target.lastReportAt)})
 }
 
 // reset resets a client's flow that no target holds any more. It does not answer a packet that is itself a reset.
--- a/core/proto/hops/relay.go
+++ b/core/proto/hops/relay.go
@@ -25,6 +25,7 @@
 	relayFlows
 	relayUnresolved
 	relayWarmupRateHundredths
+	relayAssumed
 )
 
 // The field numbers of a relay.Load.
@@ -60,6 +61,7 @@
 	b = appendVarint(b, relayReason, uint64(m.Reason))
 	b = appendVarint(b, relayLatencyObjectiveMillis, uint64(max(0, m.LatencyObjective.Milliseconds())))
 	b = appendVarint(b, relayLate, protowire.EncodeBool(m.Late))
+	b = appendVarint(b, relayAssumed, protowire.EncodeBool(m.Assumed))
 	b = appendFlows(b, relayFlows, m.Flows)
 	b = appendFlows(b, relayUnresolved, m.Unresolved)
 	b = appendVarint(b, relayWarmupRateHundredths, uint64(max(0, m.WarmupRate*hundredthsPerUnit)))
@@ -144,6 +146,8 @@
 		m.Unresolved, err = decodeFlows(f.bytes)
 	case relayLate:
 		m.Late = f.value != 0
+	case relayAssumed:
+		m.Assumed = f.value != 0
 	case relayLatencyObjectiveMillis:
 		m.LatencyObjective = decodeDuration(f.value, time.Millisecond)
 	default:
--- a/io/node/decisionlog.go
+++ b/io/node/decisionlog.go
@@ -62,6 +62,9 @@
 	if d.Age != 0 {
 		pairs = append(pairs, "ageMs", d.Age.Milliseconds())
 	}
+	if d.Evidence != relay.EvidenceNone {
+		pairs = append(pairs, "evidence", d.Evidence)
+	}
 	if d.Unasked != 0 {
 		pairs = append(pairs, "unasked", d.Unasked)
 	}
