--- a/core/coord/gate/gate_test.go
+++ b/core/coord/gate/gate_test.go
@@ -121,6 +121,29 @@
 	h.is.Equal(len(h.resets), 0)
 }
 
+// Guards against an assumption that balancers take for evidence, and keep although the target has shown since that it holds the flow (review/7).
+func TestAssumedFlowIsConfirmedByTheTargetsNextPacket(t *testing.T) {
+	h := newHarness(t)
+	h.receive(relay.KindProbe, dataSegment(flow(1)))
+	h.advance(200*time.Millisecond, "", 0)
+	assumptions := h.sentOfKind(relay.KindLocation)
+	h.is.Equal(len(assumptions), 2)
+	for _, s := range assumptions {
+		h.is.True(s.Assumed)
+	}
+	h.clear()
+	h.g.HandleOutbound(h.now, state.Segment{Flow: flow(1), Opens: true, Acknowledges: true, Packet: []byte("syn+ack")})
+	h.is.Equal(len(h.sentOfKind(relay.KindLocation)), 0) // it does not show that the client has opened the flow here
+	for range 2 {
+		h.answer(flow(1))
+	}
+	confirmations := h.sentOfKind(relay.KindLocation)
+	h.is.Equal(len(confirmations), 2) // one to each owner, once
+	for _, s := range confirmations {
+		h.is.True(!s.Assumed)
+	}
+}
+
 func TestRestartedGateDiscoversFlowsFromOutboundPackets(t *testing.T) {
 	h := newHarness(t)
 	h.sequence = 50
--- a/core/coord/gate/outbound.go
+++ b/core/coord/gate/outbound.go
@@ -28,7 +28,9 @@
 // trackOutbound updates a flow's state from a packet that the target sent.
 func (g *Gate) trackOutbound(now time.Time, f *flow, seg state.Segment) {
 	f.lastPacket = now
-	f.assumed = false
+	if f.assumed && !seg.Opens && !seg.Resets {
+		g.confirm(now, f, seg.Flow)
+	}
 	if (f.phase == offered && seg.Opens) || (f.phase == probing && !seg.Resets) {
 		g.markOpen(now, f, seg.Flow)
 	}
@@ -67,6 +69,14 @@
 	g.sendLocations(now, id, f)
 }
 
+// confirm records that the target holds a flow of which that was only assumed, and tells those that may have its location.
+func (g *Gate) confirm(now time.Time, f *flow, id state.FlowID) {
+	f.assumed = false
+	if f.phase == open {
+		g.sendLocations(now, id, f)
+	}
+}
+
 // discoverFlow adds an unknown flow on which the target sent a packet: in this way an agent that started after its target
 // discovers flows that the target has open. It adds no flow and returns nil for a reset, which does not show that the target
 // holds the flow, and for a packet that opens no flow if the gate knows all flows of its target.
--- a/core/coord/relay/decision.go
+++ b/core/coord/relay/decision.go
@@ -55,6 +55,8 @@
 	EventSearchDropped
 	// EventUnknownHolder: a balancer ignored the location of a flow that it searches for, since it does not know the agent there.
 	EventUnknownHolder
+	// EventRelocated: a balancer replaced the location of a flow, which was wrong.
+	EventRelocated
 	// EventCount is the number of events.
 	EventCount
 )
@@ -64,7 +66,7 @@
 	names := [EventCount]string{
 		"placed", "refused", "noRoute", "reset", "search", "found", "doubted", "accepted", "turnedAway", "notHeld",
 		"adopted", "ended", "targetReady", "targetDraining", "targetGone", "agentSilent", "agentHeard", "waits",
-		"targetFailing", "searchDropped", "unknownHolder",
+		"targetFailing", "searchDropped", "unknownHolder", "relocated",
 	}
 	if e >= EventCount {
 		return "unknown"
@@ -88,7 +90,8 @@
 	// Count is a number whose meaning depends on the event: targets considered, targets that don't hold the flow, agents that have
 	// not replied, flows in the queue, or open flows.
 	Count int
-	// Evidence is what the location rests on that the decision is about, for EventDiscovered, EventFound and an EventReset without a search.
+	// Evidence is what the location rests on that the decision is about, for EventDiscovered, EventFound,
+	// EventRelocated and an EventReset without a search.
 	Evidence Evidence
 	// Unasked is how many running agents a search left out, since their targets were taken not to hold the flow, for an EventReset.
 	Unasked int
--- a/core/coord/steer/messages.go
+++ b/core/coord/steer/messages.go
@@ -54,7 +54,8 @@
 	}
 }
 
-// handleLocation handles the location of a flow, reported by its agent or by an owner.
+// handleLocation handles the location of a flow, reported by its agent or by an owner. One that is only assumed, at a target that is gone,
+// counts as none: the flow may be open elsewhere.
 func (b *Balancer) handleLocation(now time.Time, from netip.AddrPort, m relay.Message) {
 	t := b.targets.byAddress[m.Holder]
 	if t == nil || t.service.ID() != m.Service {
@@ -63,23 +64,19 @@
 		}
 		return
 	}
+	if m.Assumed && b.isGone(now, b.config.Routes[m.Flow.Virtual], t) {
+		b.handleLookupMiss(now, from, m)
+		return
+	}
 	b.queue.Remove(m.Flow)
 	p := b.flows[m.Flow]
 	if m.HasLoad && from == m.Holder {
 		b.handleConfirmation(now, t, p, m.Load)
 	}
-	switch {
-	case p != nil && p.located() && p.target != t && p.target.running():
-		// A flow does not move. A delayed copy of the opening packet has opened it at a second target too, whose answer
-		// the client ignores. Should the first location be the wrong one, that agent will report that its target does
-		// not hold the flow.
+	if p != nil && !b.replaces(now, p, t, m.Evidence()) {
 		return
-	case p != nil:
-		p.target = t
-		p.evidence = m.Evidence()
-	default:
-		b.flows[m.Flow] = &placement{target: t, since: now, evidence: m.Evidence()}
 	}
+	b.locate(now, m.Flow, t, m.Evidence())
 	if s, searching := b.searches.byFlow[m.Flow]; searching {
 		b.concludeFound(now, s, t, m.Evidence(), from == m.Holder && slices.Contains(s.probed, t))
 	}
--- a/core/coord/steer/steer.go
+++ b/core/coord/steer/steer.go
@@ -92,9 +92,6 @@
 	tried []*target
 }
 
-// located reports whether an agent has said that its target holds the flow.
-func (p *placement) located() bool { return p.evidence >= relay.EvidenceAssumed }
-
 // New returns a balancer that starts at the given time.
 func New(now time.Time, settings Settings, actions Actions) *Balancer {
 	b := &Balancer{
@@ -181,16 +178,14 @@
 	}
 }
 
-// handleKnownFlow handles a packet of a flow that has a placement. A flow of an agent that is presumed dead is reset. So is an open
-// flow of an unresponsive agent if its requests are idempotent: the client can then send them elsewhere.
+// handleKnownFlow handles a packet of a flow that has a placement. Opening packets don't depend on the agent being responsive: they are
+// offered to another target if it does not answer.
 func (b *Balancer) handleKnownFlow(now time.Time, route state.Route, seg state.Segment, p *placement) {
 	switch {
-	case b.presumedDead(now, p.target):
-		b.dropFlow(now, seg, p)
-	case route.Idempotent && !seg.Opens && p.target.unresponsive(now) && b.mostAgentsResponsive(now):
-		b.dropFlow(now, seg, p)
-	case seg.Opens:
+	case seg.Opens && !b.presumedDead(now, p.target):
 		b.handleRetransmission(now, route, seg, p)
+	case b.isGone(now, route, p.target):
+		b.handleGone(now, seg, p)
 	default:
 		b.forward(relay.KindData, p.target, seg)
 	}
--- a/core/proto/hops/hops_test.go
+++ b/core/proto/hops/hops_test.go
@@ -36,7 +36,7 @@
 	m := relay.Message{
 		Late:    rapid.Bool().Draw(t, "late"),
 		Assumed: rapid.Bool().Draw(t, "assumed"),
-		Kind: relay.Kind(rapid.IntRange(1, int(relay.KindCount)-1).Draw(t, "kind")),
+		Kind:    relay.Kind(rapid.IntRange(1, int(relay.KindCount)-1).Draw(t, "kind")),
 		Flow: state.FlowID{
 			Client: state.EndpointOf(drawAddress(t, "client")), Virtual: state.EndpointOf(drawAddress(t, "virtual")),
 		},
