--- a/core/coord/steer/evidence.go
+++ b/core/coord/steer/evidence.go
@@ -10,6 +10,11 @@
 // located reports whether an agent has said that its target holds the flow.
 func (p *placement) located() bool { return p.evidence >= relay.EvidenceAssumed }
 
+// isUnanswered reports whether the target that the flow was offered to has had enough time to answer and did not.
+func (p *placement) isUnanswered(now time.Time) bool {
+	return !p.located() && now.Sub(p.since) >= confirmTimeout
+}
+
 // replaces reports whether a statement that a target holds a flow replaces the flow's placement. A flow does not move, so of two statements
 // about different targets one is wrong: the one with weaker evidence, whichever came first. With the same evidence the first one stays, as
 // long as its agent runs; should it be wrong, that agent will report that its target does not hold the flow.
@@ -49,12 +54,17 @@
 }
 
 // handleGone handles a packet of a flow whose target is gone. The flow is reset if the target is known to have held it. If that was only
-// assumed, the flow may be open elsewhere and is searched for.
+// assumed, or the target did not answer the opening packet, the flow may be open elsewhere and is searched for.
 func (b *Balancer) handleGone(now time.Time, seg state.Segment, p *placement) {
-	if p.evidence != relay.EvidenceAssumed {
+	if p.evidence == relay.EvidenceConfirmed {
 		b.dropFlow(now, seg, p)
 		return
 	}
+	b.searchAgain(now, seg)
+}
+
+// searchAgain deletes a flow's placement, which may be wrong, and searches for the holder.
+func (b *Balancer) searchAgain(now time.Time, seg state.Segment) {
 	delete(b.flows, seg.Flow)
 	b.startSearch(now, seg, nil)
 }
--- a/core/coord/steer/evidence_test.go
+++ b/core/coord/steer/evidence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -143,3 +144,76 @@
 	h.receiveLocation(agent(1), agent(1), flow(1))
 	h.is.Equal(lookUp().Evidence(), relay.EvidenceConfirmed)
 }
+
+// offer gives the balancer the opening packet of a flow, and returns the number of the agent that it was offered to.
+func (h *harness) offer(f state.FlowID) byte {
+	h.b.HandlePacket(h.now, openingSegment(f, 0))
+	offered, _ := h.last(relay.KindOpen)
+	return offered.to.Addr().As4()[3]
+}
+
+// otherThan returns the agents of three but for one.
+func otherThan(excluded byte) []byte {
+	return slices.DeleteFunc([]byte{1, 2, 3}, func(n byte) bool { return n == excluded })
+}
+
+// Guards against the reset of a flow that was offered to a target which was lost, and that opened elsewhere when the copy of its opening
+// packet took another balancer (review/8). If no other target holds it, it must be reset.
+func TestFlowOfferedToATargetThatIsGoneIsSearchedFor(t *testing.T) {
+	for _, held := range []bool{true, false} {
+		h := newHarness(t)
+		h.settle(1, 2, 3)
+		lost := h.offer(flow(1))
+		others := otherThan(lost)
+		h.loseAgent(lost, others...)
+		h.b.HandlePacket(h.now, dataSegment(flow(1)))
+		h.is.Equal(len(h.resets), 0)
+		h.is.Equal(h.count(relay.KindProbe), 2)
+		h.receiveNotFound(agent(others[0]), flow(1), noPacket)
+		if held {
+			h.receiveLocation(agent(others[1]), agent(others[1]), flow(1))
+			h.b.HandlePacket(h.now, dataSegment(flow(1)))
+			h.is.Equal(h.lastForwarded(), agent(others[1]))
+		} else {
+			h.receiveNotFound(agent(others[1]), flow(1), noPacket)
+		}
+		h.is.Equal(len(h.resets) == 0, held)
+	}
+}
+
+// Guards against packets of an open flow that are lost at a target which was offered the flow and did not answer, until it is presumed
+// dead: the flow's owners know where it is open.
+func TestUnansweredOfferIsNoLocation(t *testing.T) {
+	h := newHarness(t)
+	h.settle(1, 2, 3)
+	h.b.SetBalancers([]netip.AddrPort{self, otherBalancer})
+	holder := otherThan(h.offer(flow(1)))[0]
+	h.advance(200*time.Millisecond, 1, 2, 3)
+	h.b.HandlePacket(h.now, dataSegment(flow(1)))
+	h.is.Equal(h.count(relay.KindData), 0)
+	h.is.Equal(h.count(relay.KindLookup), 1)
+	h.receiveLocation(otherBalancer, agent(holder), flow(1))
+	h.is.Equal(h.lastForwarded(), agent(holder))
+}
+
+// Guards against the search for each flow whose first data overtakes the answer of its target's agent.
+func TestDataRightAfterAnOfferIsForwarded(t *testing.T) {
+	h := newHarness(t)
+	h.settle(1, 2, 3)
+	offered := h.offer(flow(1))
+	h.advance(100*time.Millisecond, 1, 2, 3)
+	h.b.HandlePacket(h.now, dataSegment(flow(1)))
+	h.is.Equal(h.lastForwarded(), agent(offered))
+}
+
+// Guards against the reset of a client whose opening packet was offered to a target that was lost: a copy of it is offered to another one.
+func TestOpeningPacketOfferedToATargetThatIsGoneIsOfferedToAnother(t *testing.T) {
+	h := newHarness(t)
+	h.settle(1, 2, 3)
+	lost := h.offer(flow(1))
+	h.loseAgent(lost, otherThan(lost)...)
+	h.b.HandlePacket(h.now, openingSegment(flow(1), 1))
+	offered, _ := h.last(relay.KindOpen)
+	h.is.Equal(len(h.resets), 0)
+	h.is.True(offered.to.IsValid() && offered.to != agent(lost))
+}
--- a/core/coord/steer/place.go
+++ b/core/coord/steer/place.go
@@ -84,10 +84,10 @@
 }
 
 // handleRetransmission handles a retransmitted opening packet: it goes to the same target as the first one, unless that
-// did not answer within confirmTimeout, is evacuated, or is not in a region that the route allows now.
+// did not answer within confirmTimeout, is presumed dead or evacuated, or is not in a region that the route allows now.
 func (b *Balancer) handleRetransmission(now time.Time, route state.Route, seg state.Segment, p *placement) {
-	allowed := route.Allows(p.target.region) && !p.target.evacuated()
-	if p.located() || now.Sub(p.since) < confirmTimeout && allowed {
+	allowed := route.Allows(p.target.region) && !p.target.evacuated() && !b.presumedDead(now, p.target)
+	if p.located() || !p.isUnanswered(now) && allowed {
 		b.offer(p.target, seg, b.isLate(now, route, seg, p.queuedAt))
 		return
 	}
--- a/core/coord/steer/steer.go
+++ b/core/coord/steer/steer.go
@@ -179,11 +179,14 @@
 }
 
 // handleKnownFlow handles a packet of a flow that has a placement. Opening packets don't depend on the agent being responsive: they are
-// offered to another target if it does not answer.
+// offered to another target if it does not answer. The other packets of a flow show that some target has accepted it. If the one that it was
+// offered to here has not answered, it may be another one that got a copy of the opening packet through another balancer.
 func (b *Balancer) handleKnownFlow(now time.Time, route state.Route, seg state.Segment, p *placement) {
 	switch {
-	case seg.Opens && !b.presumedDead(now, p.target):
+	case seg.Opens && (!p.located() || !b.presumedDead(now, p.target)):
 		b.handleRetransmission(now, route, seg, p)
+	case p.isUnanswered(now) && !seg.Resets:
+		b.searchAgain(now, seg)
 	case b.isGone(now, route, p.target):
 		b.handleGone(now, seg, p)
 	default:
