--- a/core/coord/steer/exploreagent_test.go
+++ b/core/coord/steer/exploreagent_test.go
@@ -144,7 +144,9 @@
 		a.reply(t, state.Segment{Flow: seg.Flow, Opens: true, Acknowledges: true, Sequence: 1, Packet: packet})
 	case t.holds[seg.Flow] || t.accepted[seg.Flow] && flow.target == t:
 		t.holds[seg.Flow] = true
-		a.reply(t, state.Segment{Flow: seg.Flow, Acknowledges: true, DataLen: 1, Packet: packet})
+		a.f.after(a.f.work, func() {
+			a.reply(t, state.Segment{Flow: seg.Flow, Acknowledges: true, DataLen: 1, Packet: packet})
+		})
 	default:
 		seg.Returned = true
 		a.reply(t, seg)
@@ -191,6 +193,21 @@
 	})
 }
 
+// loseTarget ends a target for good and, lossDelay later, its agent as planned.
+func (a *exploredAgent) loseTarget() {
+	a.target, a.removed, a.disturbedAt = nil, true, a.f.now
+	a.f.after(lossDelay, func() {
+		if a.process != nil {
+			a.leave()
+		}
+	})
+}
+
+// loseInstance ends a target and its agent for good.
+func (a *exploredAgent) loseInstance() {
+	a.target, a.process, a.removed, a.disturbedAt = nil, nil, true, a.f.now
+}
+
 // remove ends a target as planned, and then its agent for good.
 func (a *exploredAgent) remove() {
 	if a.target == nil || a.process == nil || !a.frozenAt.IsZero() {
