gate: every probe of a known flow is answered

A balancer that has three probes without a reply for a second takes the agent for unresponsive and resets its flows with idempotent requests.

Change: an ended flow is located here (as an assumption, since its target answers late packets of it or returns them); when the target returns one, the balancer is told that the flow is not held, without the packet: nobody else holds it. A flow that was offered and not answered is not held. While an earlier probe may still be returned (60 ms), the reply waits for that, as before.

Cost: one message a probe of such a flow; store calls, state none.

--- a/core/coord/gate/gate_test.go
+++ b/core/coord/gate/gate_test.go
@@ -256,3 +256,27 @@
 	h.returnPacket(dataSegment(flow(1)))
 	h.is.Equal(len(h.sentOfKind(relay.KindNotFound)), 1)
 }
+
+// Guards against the same for a flow that has just ended at a target which answers its late packets instead of returning them.
+func TestProbeForAnEndedFlowIsAnsweredBeforeItsTargetDoes(t *testing.T) {
+	h := newHarness(t)
+	h.sendHeartbeat("t1", 1, false)
+	h.establish(flow(1))
+	h.receive(relay.KindData, state.Segment{Flow: flow(1), Resets: true, Packet: []byte("rst")})
+	h.clear()
+	h.receive(relay.KindProbe, dataSegment(flow(1)))
+	locations := h.sentOfKind(relay.KindLocation)
+	h.is.Equal(len(locations), 1)
+	h.is.True(locations[0].Assumed) // the target may return the packet
+	h.is.Equal(len(h.delivered), 1)
+}
+
+// Guards against the same for a flow whose opening packet the target has not answered.
+func TestProbeForAnOfferedFlowIsAnswered(t *testing.T) {
+	h := newHarness(t)
+	h.sendHeartbeat("t1", 1, false)
+	h.receive(relay.KindOpen, openingSegment(flow(1)))
+	h.clear()
+	h.receive(relay.KindProbe, dataSegment(flow(1)))
+	h.is.Equal(len(h.sentOfKind(relay.KindNotFound)), 1)
+}
--- a/core/coord/gate/inbound.go
+++ b/core/coord/gate/inbound.go
@@ -115,8 +115,8 @@
 	if known {
 		f.balancer = from
 		g.deliverPacket(now, f, seg)
-		if m.Kind == relay.KindProbe && f.phase == open {
-			g.sendLocation(from, seg.Flow, f)
+		if m.Kind == relay.KindProbe {
+			g.answerProbe(from, f, m, seg)
 		}
 		return
 	}
@@ -129,6 +129,19 @@
 	g.deliverPacket(now, f, seg)
 }
 
+// answerProbe replies to the probe of a known flow, since a balancer takes an agent that leaves probes without a reply for unresponsive. A
+// flow that has ended stays here, so that late packets reach the target, which answers or returns them. The target does not hold a flow
+// whose opening packet it has not answered. While the target may still return an earlier probe, that decides.
+func (g *Gate) answerProbe(to netip.AddrPort, f *flow, m relay.Message, seg state.Segment) {
+	switch f.phase {
+	case open, closed:
+		g.sendLocation(to, seg.Flow, f)
+	case offered:
+		g.sendNotFound(to, m, seg)
+	case probing:
+	}
+}
+
 // sendNotFound reports to a balancer that the target does not hold the flow. The packet goes back only if m is a KindData: the
 // packet of a probe went to other agents too.
 func (g *Gate) sendNotFound(to netip.AddrPort, m relay.Message, seg state.Segment) {
--- a/core/coord/gate/outbound.go
+++ b/core/coord/gate/outbound.go
@@ -106,6 +106,8 @@
 		return
 	}
 	if f.phase == closed {
+		// Nobody else holds the flow, so the packet need not go back to its balancer.
+		g.sendNotFound(balancer, relay.Message{Kind: relay.KindProbe}, seg)
 		return
 	}
 	g.removeFlow(seg.Flow, f)
--- a/core/coord/gate/owners.go
+++ b/core/coord/gate/owners.go
@@ -38,6 +38,6 @@
 		Flow:    id,
 		Service: g.settings.Service.ID(),
 		Holder:  g.settings.Self,
-		Assumed: f.assumed,
+		Assumed: f.assumed || f.phase == closed,
 	}
 }
