gate: an acknowledgement of another target's packets establishes no flow

A target accepts a copy of an opening packet, the client opens the flow elsewhere, a packet of it is misdirected here, and the target ends before it returns the packet: resetAllFlows reset the flow, which another target holds, with a sequence number that the client accepts.

Cause: a flow was established by any acknowledgement of the client. Evidence: the test, which failed before. Change: the first acknowledgement must fit the target's own sequence number (within 19,201, what a target may have in flight); one of a flow that the target has not accepted does not count.

--- a/core/coord/gate/gate.go
+++ b/core/coord/gate/gate.go
@@ -77,6 +77,9 @@
 	// objectiveFraction is the fraction of the latency objective within which a new request is expected to be answered, so that
 	// most are answered within the whole objective.
 	objectiveFraction = 0.6
+	// maxFirstAcknowledged is how far, in sequence numbers, the client's first acknowledgement may be ahead of the target's opening packet: a
+	// target has at most 16 packets of 1,200 bytes in flight.
+	maxFirstAcknowledged = 1 + 16*1200
 	// meanOutstandingWindow is the time constant of the moving average of outstanding requests.
 	meanOutstandingWindow = 2 * time.Second
 )
@@ -176,6 +179,19 @@
 	returnPacket bool
 }
 
+// isAcknowledgedBy reports whether the client's packet acknowledges packets of this target. A flow that the target has accepted may have
+// opened at another one, whose sequence numbers are unrelated; the client's packets then acknowledge these.
+func (f *flow) isAcknowledgedBy(seg state.Segment) bool {
+	switch {
+	case f.phase == offered:
+		return false
+	case f.phase == open && !f.assumed && !f.established:
+		return seg.Acknowledged-f.resetSequence <= maxFirstAcknowledged
+	default:
+		return true
+	}
+}
+
 // evidence returns what it rests on that an open flow is open at the target.
 func (f *flow) evidence() relay.Evidence {
 	if f.assumed {
--- a/core/coord/gate/gate_test.go
+++ b/core/coord/gate/gate_test.go
@@ -79,6 +79,25 @@
 	h.is.Equal(len(h.resets), 0)
 }
 
+// Guards against the same when a packet of such a flow is misdirected to this target: it acknowledges the packets of the target at which the
+// client has opened the flow. A flow that the client has opened here is reset.
+func TestFlowOfWhichTheClientAcknowledgesAnotherTargetIsNotReset(t *testing.T) {
+	const sequence = 4_000_000_000
+	for _, here := range []bool{true, false} {
+		h := newHarness(t)
+		h.sendHeartbeat("t1", 1, false)
+		h.receive(relay.KindOpen, openingSegment(flow(1)))
+		h.g.HandleOutbound(h.now, state.Segment{Flow: flow(1), Opens: true, Acknowledges: true, Sequence: sequence, Packet: []byte("syn+ack")})
+		request := dataSegment(flow(1))
+		if here {
+			request.Acknowledged = sequence + 1
+		}
+		h.receive(relay.KindData, request)
+		h.g.Deregister(h.now, "t1")
+		h.is.Equal(len(h.resets) == 1, here)
+	}
+}
+
 // A gate that has seen its target start knows all of the target's flows. It reports others as not found without probing the target.
 func TestGateThatKnowsAllFlowsReportsOthersNotFound(t *testing.T) {
 	h := newHarness(t)
--- a/core/coord/gate/inbound.go
+++ b/core/coord/gate/inbound.go
@@ -157,7 +157,7 @@
 // deliverPacket passes a client's packet to the target and updates the flow's state from it.
 func (g *Gate) deliverPacket(now time.Time, f *flow, seg state.Segment) {
 	f.lastPacket = now
-	if seg.Acknowledges {
+	if seg.Acknowledges && f.isAcknowledgedBy(seg) {
 		f.resetSequence = seg.Acknowledged
 		f.established = true
 	}
--- a/core/coord/steer/explore_test.go
+++ b/core/coord/steer/explore_test.go
@@ -226,11 +226,11 @@
 }
 
 func (f *exploredFleet) segment(packet []byte) state.Segment {
-	id := f.flows[packet[1]].id
+	flow := f.flows[packet[1]]
 	if packet[0] == opening {
-		return state.Segment{Flow: id, Opens: true, Packet: packet}
+		return state.Segment{Flow: flow.id, Opens: true, Packet: packet}
 	}
-	return state.Segment{Flow: id, Acknowledges: true, Acknowledged: 1, DataLen: 1, Packet: packet}
+	return state.Segment{Flow: flow.id, Acknowledges: true, Acknowledged: flow.target.firstSequence + 1, DataLen: 1, Packet: packet}
 }
 
 // handleAnswer handles a packet of a target at the client: the first answer to an opening packet decides where the flow is open.
--- a/core/coord/steer/exploreagent_test.go
+++ b/core/coord/steer/exploreagent_test.go
@@ -36,8 +36,10 @@
 	startedAt time.Time
 	sequence  uint64
 	draining  bool
-	accepted  map[state.FlowID]bool
-	holds     map[state.FlowID]bool
+	// firstSequence is the sequence number of its opening packets.
+	firstSequence uint32
+	accepted      map[state.FlowID]bool
+	holds         map[state.FlowID]bool
 }
 
 // deliver runs a function of the process now, or once it is no longer frozen.
@@ -104,7 +106,7 @@
 func (a *exploredAgent) startTarget() {
 	a.f.serial++
 	a.target = &exploredTarget{
-		id: gate.TargetID(fmt.Sprintf("i-%d", a.f.serial)), startedAt: a.f.now,
+		id: gate.TargetID(fmt.Sprintf("i-%d", a.f.serial)), startedAt: a.f.now, firstSequence: uint32(a.f.serial) << 20,
 		accepted: make(map[state.FlowID]bool), holds: make(map[state.FlowID]bool),
 	}
 	a.beat()
@@ -141,7 +143,7 @@
 	switch {
 	case seg.Opens:
 		t.accepted[seg.Flow] = true
-		a.reply(t, state.Segment{Flow: seg.Flow, Opens: true, Acknowledges: true, Sequence: 1, Packet: packet})
+		a.reply(t, state.Segment{Flow: seg.Flow, Opens: true, Acknowledges: true, Sequence: t.firstSequence, Packet: packet})
 	case t.holds[seg.Flow] || t.accepted[seg.Flow] && flow.target == t:
 		t.holds[seg.Flow] = true
 		a.f.after(a.f.work, func() {
