agent: the target is checked before the agent leaves

What callers would see: the clients of a lost target whose instance is removed a second later get no reset for 8 s and more, although nobody holds their flows.

Cause: an agent checks its target only when heartbeats are overdue; one that is stopped before that leaves as if it were being restarted, and its flows are kept for 8 s. Ruled out: searches that are not concluded, a departure that balancers did not learn.

Change: an agent that stops connects to its target, for at most 50 ms. A refused connection, with no heartbeat since it began, shows that the target is down: the flows are reset and the balancers told before the agent leaves.

Cost: one connection to the target for each planned stop of an agent; store calls, bytes, state 0. Tests: TestTargetThatRefusesTheLastCheckIsDown, both ways.

--- a/core/coord/gate/target.go
+++ b/core/coord/gate/target.go
@@ -258,6 +258,14 @@
 	}
 }
 
+// HandleLastCheck handles the result of a check that began when the agent was told to stop. Balancers keep the flows of an agent that leaves,
+// since it may return beside its target; if nothing listens there any more, the flows are lost, which they learn in this way before it leaves.
+func (g *Gate) HandleLastCheck(now, began time.Time, result CheckResult) {
+	if result == ConnRefused && !g.target.lastHeartbeat.After(began) {
+		g.targetDown(now)
+	}
+}
+
 // accepting reports whether the target accepts new flows.
 func (g *Gate) accepting() bool { return g.refusalReason() == relay.ReasonNone }
 
--- a/core/coord/gate/target_test.go
+++ b/core/coord/gate/target_test.go
@@ -180,6 +180,31 @@
 	h.is.Equal(len(h.resets), 0)
 }
 
+// Guards against balancers that wait for an agent to return beside a target that was lost shortly before the agent stopped. A heartbeat that
+// was received while the check was running is newer than its result.
+func TestTargetThatRefusesTheLastCheckIsDown(t *testing.T) {
+	for _, c := range []struct {
+		result    gate.CheckResult
+		heartbeat bool
+		down      bool
+	}{{gate.ConnRefused, false, true}, {gate.ConnRefused, true, false}, {gate.ConnAccepted, false, false}, {gate.ConnTimeout, false, false}} {
+		h := newHarness(t)
+		h.sendHeartbeat("t1", 1, false)
+		h.establish(flow(1))
+		h.now = h.now.Add(300 * time.Millisecond)
+		began := h.now
+		h.now = h.now.Add(time.Millisecond)
+		if c.heartbeat {
+			h.sendHeartbeat("t1", 1, false)
+		}
+		h.clear()
+		h.g.HandleLastCheck(h.now, began, c.result)
+		h.is.Equal(len(h.resets) == 1, c.down)
+		reports := h.sentOfKind(relay.KindLoad)
+		h.is.Equal(len(reports) > 0 && reports[0].Load.Reason == relay.ReasonTargetDown, c.down)
+	}
+}
+
 func TestDeregisterResetsFlowsImmediately(t *testing.T) {
 	h := newHarness(t)
 	h.sendHeartbeat("t1", 1, false)
--- a/core/coord/steer/exploreagent_test.go
+++ b/core/coord/steer/exploreagent_test.go
@@ -84,8 +84,11 @@
 	}
 }
 
-// leave ends the agent's process as planned.
+// leave ends the agent's process as planned. It checks its target first.
 func (a *exploredAgent) leave() {
+	if a.target == nil {
+		a.process.HandleLastCheck(a.f.now, a.f.now, gate.ConnRefused)
+	}
 	a.process.Stop(a.f.now)
 	a.node.send(a.node.machine.Leave())
 	a.process = nil
--- a/io/node/agent.go
+++ b/io/node/agent.go
@@ -29,6 +29,8 @@
 	targetCheckTimeout = 500 * time.Millisecond
 	// firstCheckTimeout is the same for the check before the agent joins the fleet, which it delays.
 	firstCheckTimeout = 50 * time.Millisecond
+	// lastCheckTimeout is the same for the check when the agent stops, which it delays.
+	lastCheckTimeout = 50 * time.Millisecond
 	// outstandingPollInterval is the time between two checks for outstanding requests while the agent stops.
 	outstandingPollInterval = 50 * time.Millisecond
 )
@@ -110,7 +112,12 @@
 // Stop shuts the agent down gracefully: it accepts no new flows, waits for the answers to outstanding requests, and leaves the fleet.
 func (a *Agent) Stop(ctx context.Context) {
 	a.stopped.Store(true)
-	a.runInLoopOrLog(ctx, func(now time.Time) { a.gate.Stop(now) })
+	began := time.Now()
+	result := a.dialTarget(lastCheckTimeout)
+	a.runInLoopOrLog(ctx, func(now time.Time) {
+		a.gate.HandleLastCheck(now, began, result)
+		a.gate.Stop(now)
+	})
 	end := time.Now().Add(min(outstandingTimeout, a.settings.Grace/2))
 	group.Sleep(ctx, minStopTime)
 	for time.Now().Before(end) {
