--- a/core/coord/steer/explore_test.go
+++ b/core/coord/steer/explore_test.go
@@ -18,6 +18,8 @@
 	spreadTime = 100 * time.Millisecond
 	// freezeTime is how long an agent is frozen.
 	freezeTime = 3500 * time.Millisecond
+	// restartTime is how long a process is away while it is restarted as planned.
+	restartTime = 500 * time.Millisecond
 	// restartGap is the time between two planned restarts.
 	restartGap = 1300 * time.Millisecond
 	// contactTime is how long after an unplanned fault of an agent's instance resets of its flows don't count.
@@ -295,9 +297,12 @@
 	return flow.target != nil && flow.agent.target == flow.target && flow.target.holds[flow.id]
 }
 
-// route gives a packet of a client to one of the balancers.
+// route gives a packet of a client to one of the balancers, if any runs.
 func (f *exploredFleet) route(seg state.Segment) {
 	running := f.running()
+	if len(running) == 0 {
+		return
+	}
 	b := running[f.rng.IntN(len(running))]
 	process := b.process
 	f.after(networkDelay, func() {
@@ -336,7 +341,12 @@
 	if b.process == nil || len(b.f.running()) == 1 {
 		return
 	}
+	b.stopFor(restartTime)
+}
+
+// stopFor stops the balancer as planned and starts it again after d.
+func (b *exploredBalancer) stopFor(d time.Duration) {
 	b.node.send(b.node.machine.Leave())
 	b.process = nil
-	b.f.after(500*time.Millisecond, b.start)
+	b.f.after(d, b.start)
 }
--- a/core/coord/steer/exploremembers_test.go
+++ b/core/coord/steer/exploremembers_test.go
@@ -19,6 +19,7 @@
 	gossipBytes      = 48 << 10
 	syncInterval     = 100 * time.Millisecond
 	startupTime      = 2 * time.Second
+	joinInterval     = 100 * time.Millisecond
 	rejoinInterval   = 10 * time.Second
 )
 
@@ -30,7 +31,7 @@
 	startedAt   time.Time
 	seenVersion uint64
 	nextSync    time.Time
-	nextJoin    time.Time
+	lastJoin    time.Time
 	// learn is called when the members have changed.
 	learn func(members []state.Member)
 }
@@ -51,17 +52,23 @@
 		n.nextSync = now.Add(syncInterval)
 		sends = append(sends, n.machine.Sync()...)
 	}
-	if !now.Before(n.nextJoin) {
-		n.nextJoin = now.Add(rejoinInterval)
-		if n.machine.Size() == 1 {
-			n.nextJoin = now.Add(syncInterval)
-		}
+	if now.Sub(n.lastJoin) >= n.joinInterval() {
+		n.lastJoin = now
 		sends = append(sends, n.machine.Join(n.f.seeds())...)
 	}
 	n.send(sends)
 	n.update()
 }
 
+// joinInterval returns the present time between two join attempts.
+func (n *exploredNode) joinInterval() time.Duration {
+	young := n.f.now.Sub(n.startedAt) < startupTime
+	if n.machine.IsSeparated() || young && !n.machine.KnowsBalancer() {
+		return joinInterval
+	}
+	return rejoinInterval
+}
+
 // update passes the members on if they have changed.
 func (n *exploredNode) update() {
 	if version := n.machine.Version(); version != n.seenVersion {
--- a/core/coord/steer/exploreorders_test.go
+++ b/core/coord/steer/exploreorders_test.go
@@ -126,8 +126,23 @@
 	}},
 }
 
-// exploredLosses are kinds of events that TestExploredOrders does not play, so that its seeds stay the same.
-var exploredLosses = []exploredEvent{
+// laterExploredEvents are kinds of events that TestExploredOrders does not play, so that its seeds stay the same.
+var laterExploredEvents = []exploredEvent{
+	{"restart all balancers and an agent together", func(f *exploredFleet) bool {
+		a := f.pickAgent()
+		if a == nil || a.target == nil || a.target.draining {
+			return false
+		}
+		for _, b := range f.running() {
+			b.stopFor(restartTime)
+		}
+		f.after(restartTime/2, func() {
+			if a.process != nil && !a.removed && a.frozenAt.IsZero() {
+				a.stopFor(restartTime)
+			}
+		})
+		return true
+	}},
 	{"lose a target, then its instance", func(f *exploredFleet) bool {
 		a := f.agents[0]
 		if a.process == nil || a.target == nil || a.removed || !a.frozenAt.IsZero() {
@@ -193,7 +208,7 @@
 
 // kindsNamed returns the kinds of events with some names.
 func kindsNamed(names ...string) []exploredEvent {
-	all := slices.Concat(exploredEventKinds, exploredLosses)
+	all := slices.Concat(exploredEventKinds, laterExploredEvents)
 	return slices.DeleteFunc(all, func(e exploredEvent) bool { return !slices.Contains(names, e.name) })
 }
 
@@ -266,6 +281,12 @@
 	})
 }
 
+// Guards against balancers that are restarted at once, know only the agents that reached them since, and reset the flows of the others
+// (review/6).
+func TestExploredRestartsTogether(t *testing.T) {
+	checkOrders(t, exploredGroup{kinds: kindsNamed("open two flows", "requests", "restart all balancers and an agent together"), events: 6})
+}
+
 // Guards against a node that takes a flow for lost on the word of a process that can't know, in any order of events.
 func TestExploredOrders(t *testing.T) {
 	checkOrders(t, exploredGroup{kinds: exploredEventKinds, events: 14})
--- a/io/node/discovery.go
+++ b/io/node/discovery.go
@@ -18,7 +18,7 @@
 	"monsoonstep/io/logs"
 )
 
-// Directory reads and writes a list of balancers in the store, through which a process that knows no other node joins the fleet. The
+// Directory reads and writes a list of balancers in the store, through which a separated process joins the fleet. The
 // seeds in its settings are only a few nodes, and those may be down or start later.
 type Directory struct {
 	// Read returns the list in its stored form, and the position of its last change. With allowStale the list may be seconds old, which
@@ -32,7 +32,7 @@
 const (
 	// listTimeout is the timeout of the calls to read or write the list.
 	listTimeout = time.Second
-	// listRereadInterval is how long a process that knows no other node waits before it reads the list again.
+	// listRereadInterval is how long a process that is separated from the fleet waits before it reads the list again.
 	listRereadInterval = time.Second
 	// listSettleTime is how long the set of balancers must not have changed before their list is written.
 	listSettleTime = 2 * time.Second
@@ -53,21 +53,21 @@
 	// balancers are the addresses of the balancers that are present, sorted; changedAt is when they last changed.
 	balancers []netip.AddrPort
 	changedAt time.Time
-	// alone is true while no other node is known.
-	alone bool
+	// separated is true while this node may know only a part of the fleet.
+	separated bool
 	// storeEra is the latest era of the store that the fleet has announced.
 	storeEra state.StoreEra
 }
 
 func newDiscovery(n *node, d Directory) *discovery {
-	return &discovery{n: n, directory: d, log: n.log.Part("fleet"), alone: true}
+	return &discovery{n: n, directory: d, log: n.log.Part("fleet"), separated: true}
 }
 
-// setFleet sets the balancers that are present, sorted, whether this node knows no other one, and the latest era of the store.
-func (d *discovery) setFleet(now time.Time, balancers []netip.AddrPort, alone bool, storeEra state.StoreEra) {
+// setFleet sets the balancers that are present, sorted, whether this node may know only a part of the fleet, and the latest era of the store.
+func (d *discovery) setFleet(now time.Time, balancers []netip.AddrPort, separated bool, storeEra state.StoreEra) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.alone = alone
+	d.separated = separated
 	d.storeEra = storeEra
 	if !slices.Equal(d.balancers, balancers) {
 		d.balancers = balancers
@@ -75,14 +75,14 @@
 	}
 }
 
-// isAlone reports whether no other node is known.
-func (d *discovery) isAlone() bool {
+// isSeparated reports whether this node may know only a part of the fleet.
+func (d *discovery) isSeparated() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.alone
+	return d.separated
 }
 
-// discover reads the list at the start, and again while no other node is known.
+// discover reads the list at the start, and again while this node may know only a part of the fleet.
 func (d *discovery) discover(ctx context.Context) error {
 	delays := newRetryDelays()
 	for ctx.Err() == nil {
@@ -91,7 +91,7 @@
 			d.n.runInLoopOrLog(ctx, func(time.Time) { d.n.fleet.addSeeds(listed) })
 		}
 		group.Sleep(ctx, d.delayAfterRead(delays, err))
-		for ctx.Err() == nil && !d.isAlone() {
+		for ctx.Err() == nil && !d.isSeparated() {
 			group.Sleep(ctx, listRereadInterval)
 		}
 	}
--- a/io/node/fleet.go
+++ b/io/node/fleet.go
@@ -21,9 +21,9 @@
 	// maxGossipBytesPerSecond limits the membership messages that a node sends. A start of the whole fleet needs several times the
 	// rate of normal operation.
 	maxGossipBytesPerSecond = 48 << 10
-	// joinInterval is the time between two join attempts at seeds while no other node is known.
+	// joinInterval is the time between two join attempts at seeds while this node may know only a part of the fleet.
 	joinInterval = 100 * time.Millisecond
-	// rejoinInterval is the time between two join attempts at seeds once other nodes are known. These attempts reunite the halves of
+	// rejoinInterval is the time between two join attempts at seeds otherwise. These attempts reunite the halves of
 	// a fleet after a partition.
 	rejoinInterval = 10 * time.Second
 	// syncInterval is the time between two additional comparisons with a random member, within startupWindow of the start and while
@@ -52,7 +52,7 @@
 	// seenVersion is the machine's version at the last call of changed that returned members.
 	seenVersion uint64
 	started     time.Time
-	nextJoin    time.Time
+	lastJoin    time.Time
 	nextSync    time.Time
 	// nextIntroduction is the earliest time of the next introduction to an unknown peer.
 	nextIntroduction time.Time
@@ -97,16 +97,23 @@
 		f.nextSync = now.Add(syncInterval)
 		sends = append(sends, f.machine.Sync()...)
 	}
-	if now.Before(f.nextJoin) {
+	if now.Sub(f.lastJoin) < f.joinInterval(now) {
 		return sends
 	}
-	f.nextJoin = now.Add(rejoinInterval)
-	if f.machine.Size() == 1 {
-		f.nextJoin = now.Add(joinInterval)
-	}
+	f.lastJoin = now
 	return append(sends, f.machine.Join(f.randomSeeds())...)
 }
 
+// joinInterval returns the present time between two join attempts. A balancer that has just started looks for another one as well, since
+// nodes that start together may meet in separate groups.
+func (f *fleet) joinInterval(now time.Time) time.Duration {
+	looksForBalancer := now.Sub(f.started) < startupWindow && !f.machine.KnowsBalancer()
+	if looksForBalancer || f.machine.IsSeparated() {
+		return joinInterval
+	}
+	return rejoinInterval
+}
+
 // randomSeeds returns up to joinFanout seeds, drawn at random.
 func (f *fleet) randomSeeds() []netip.AddrPort {
 	drawn := slices.Clone(f.seeds)
@@ -169,7 +176,7 @@
 			f.seeds = append(f.seeds, seed)
 		}
 	}
-	f.nextJoin = time.Time{}
+	f.lastJoin = time.Time{}
 }
 
 // announcePhase announces this node's phase to the fleet.
--- a/io/node/fleet_test.go
+++ b/io/node/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -57,3 +58,50 @@
 	check.Equal(agent.machine.Size(), 2)
 	check.Equal(len(balancer.introduce(now.Add(time.Second), agent.machine.Self().Gossip)), 0) // the agent is known now
 }
+
+// joinsSoon reports whether a node tries to join through a seed within some join intervals, before a member that does not answer is suspect.
+func joinsSoon(now time.Time, f *fleet, seed netip.AddrPort) bool {
+	for end := now.Add(3 * joinInterval); now.Before(end); now = now.Add(tickInterval) {
+		if slices.ContainsFunc(f.tick(now), func(s gossip.Send) bool { return s.To == seed }) {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against agents that stay apart when all balancers have been restarted at once, since they still know each other: the balancers
+// then take the agents that reached them for all there are, and reset the flows of the others (review/6). An agent that knows a balancer,
+// and a balancer that has been alone for some time, must not keep contacting the seeds.
+func TestNodeWithoutBalancersJoinsThroughTheSeeds(t *testing.T) {
+	seed := netip.MustParseAddrPort("10.0.0.9:7700")
+	for _, c := range []struct {
+		name         string
+		role         state.Role
+		balancerLeft bool
+		uptime       time.Duration
+		joins        bool
+	}{
+		{"agent whose last balancer left", state.RoleAgent, true, time.Minute, true},
+		{"agent that knows a balancer", state.RoleAgent, false, time.Minute, false},
+		{"balancer that has just started", state.RoleBalancer, true, 0, true},
+		{"only balancer", state.RoleBalancer, true, time.Minute, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			now := time.Now()
+			f := testFleet("n", "10.0.0.1:7700", c.role)
+			agent := testFleet("a", "10.0.0.2:7700", state.RoleAgent)
+			balancer := testFleet("b", "10.0.0.3:7700", state.RoleBalancer)
+			exchange(now, f, agent, f.introduce(now, agent.machine.Self().Gossip))
+			exchange(now, f, balancer, f.introduce(now.Add(time.Second), balancer.machine.Self().Gossip))
+			f.seeds = []netip.AddrPort{seed}
+			f.started, f.lastJoin = now.Add(-c.uptime), now
+			if c.balancerLeft {
+				for _, s := range balancer.leave() {
+					f.receive(now, balancer.machine.Self().Gossip, s.Message)
+				}
+			}
+			f.changed()
+			is.New(t).Equal(joinsSoon(now, f, seed), c.joins)
+		})
+	}
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -209,7 +209,7 @@
 func (n *node) updateMembers(now time.Time) {
 	if members, changed := n.fleet.changed(); changed {
 		n.evacuation.applyAnnounced(now)
-		n.discovery.setFleet(now, relay.Addresses(balancers(members)), n.fleet.alone, n.fleet.storeEra())
+		n.discovery.setFleet(now, relay.Addresses(balancers(members)), n.fleet.machine.IsSeparated(), n.fleet.storeEra())
 		n.onMembers(now, members)
 	}
 }
