--- a/core/coord/steer/messages.go
+++ b/core/coord/steer/messages.go
@@ -166,7 +166,9 @@
 
 // notFound records that a target does not hold the flow of a search. The next batch follows once no reply is pending.
 func (b *Balancer) notFound(now time.Time, s *search, t *target) {
-	s.notFound = append(s.notFound, t)
+	if !slices.Contains(s.notFound, t) {
+		s.notFound = append(s.notFound, t)
+	}
 	s.pending = slices.DeleteFunc(s.pending, func(other *target) bool { return other == t })
 	if s.agentPhase && len(s.pending) == 0 {
 		b.searchNextBatch(now, s)
--- a/core/coord/steer/search_test.go
+++ b/core/coord/steer/search_test.go
@@ -265,3 +265,17 @@
 	h.is.Equal(len(logged), 1)
 	h.is.Equal(logged[0].Peer, agent(9))
 }
+
+// Guards against a log line of a reset whose counts are wrong because an agent replied to a search twice.
+func TestRepeatedReplyIsCountedOnce(t *testing.T) {
+	h := newHarness(t)
+	h.settle(1, 2)
+	h.b.HandlePacket(h.now, dataSegment(flow(1)))
+	h.receiveNotFound(agent(1), flow(1), noPacket)
+	h.receiveNotFound(agent(1), flow(1), noPacket)
+	h.receiveNotFound(agent(2), flow(1), noPacket)
+	last := h.decisions[len(h.decisions)-1]
+	h.is.Equal(last.Event, relay.EventReset)
+	h.is.Equal(last.Count, 2)
+	h.is.Equal(last.Unasked, 0)
+}
