--- a/core/coord/gate/gate.go
+++ b/core/coord/gate/gate.go
@@ -77,6 +77,10 @@
 	// objectiveFraction is the fraction of the latency objective within which a new request is expected to be answered, so that
 	// most are answered within the whole objective.
 	objectiveFraction = 0.6
+	// maxTickGap is the time between two ticks above which the process counts as paused in between: a few times TickPeriod.
+	maxTickGap = 250 * time.Millisecond
+	// resumptionTime is how long after a pause packets that arrived during it may still be waiting to be handled.
+	resumptionTime = 500 * time.Millisecond
 	// maxFirstAcknowledged is how far, in sequence numbers, the client's first acknowledgement may be ahead of the target's opening packet: a
 	// target has at most 16 packets of 1,200 bytes in flight.
 	maxFirstAcknowledged = 1 + 16*1200
@@ -112,6 +116,9 @@
 	// meanOutstanding is the moving average of outstanding over meanOutstandingWindow.
 	meanOutstanding float64
 	lastTick        time.Time
+	// resumedAt is when the process was last found to have been paused; resumed is true until the next event if it just was.
+	resumedAt time.Time
+	resumed   bool
 	// serviceTime estimates the target's service time.
 	serviceTime serviceTimer
 	// objective is the latency objective of the most recently offered flow; zero if unknown.
@@ -162,7 +169,8 @@
 	// established is set once the client has acknowledged a packet of the target, or the target has sent data: both ends take
 	// part, so the flow is more than an offer that another target may have accepted.
 	established bool
-	// assumed is set while the flow counts as open only because the target has not returned a packet of it within probeTimeout.
+	// assumed is set while the flow counts as open only because the target has not returned a packet of it within probeTimeout, or has
+	// accepted an opening packet that may have waited while the process was paused.
 	assumed bool
 	// outstanding is set from the opening packet, and from each request's first packet, until the first packet of an answer.
 	outstanding      bool
--- a/core/coord/gate/gate_test.go
+++ b/core/coord/gate/gate_test.go
@@ -163,6 +163,39 @@
 	}
 }
 
+// Guards against an agent that was frozen, passes opening packets on that waited meanwhile, and reports their flows as open beside it although
+// the clients have opened them elsewhere (review/5). The target's next packet shows which it holds.
+func TestFlowAcceptedRightAfterAPauseIsAssumed(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		pause   func(h *harness)
+		assumed bool
+	}{
+		{"no pause", func(*harness) {}, false},
+		{"reported pause", func(h *harness) { h.g.ProcessPaused(3 * time.Second) }, true},
+		{"missing ticks", func(h *harness) { h.now = h.now.Add(3 * time.Second) }, true},
+		{"a second after a pause", func(h *harness) {
+			h.now = h.now.Add(3 * time.Second)
+			h.g.ProcessPaused(3 * time.Second)
+			h.advance(time.Second, "t1", 1)
+		}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHarness(t)
+			h.sendHeartbeat("t1", 1, false)
+			c.pause(h)
+			h.clear()
+			h.open(flow(1))
+			for _, s := range h.sentOfKind(relay.KindLocation) {
+				h.is.Equal(s.Assumed, c.assumed)
+			}
+			h.clear()
+			h.answer(flow(1))
+			h.is.Equal(len(h.sentOfKind(relay.KindLocation)) > 0, c.assumed)
+		})
+	}
+}
+
 func TestRestartedGateDiscoversFlowsFromOutboundPackets(t *testing.T) {
 	h := newHarness(t)
 	h.sequence = 50
--- a/core/coord/gate/inbound.go
+++ b/core/coord/gate/inbound.go
@@ -69,7 +69,9 @@
 		return
 	}
 	g.countNewFlow(now)
-	g.flows[seg.Flow] = &flow{phase: offered, balancer: from, createdAt: now, lastPacket: now, outstanding: true, outstandingSince: now}
+	g.flows[seg.Flow] = &flow{
+		phase: offered, balancer: from, createdAt: now, lastPacket: now, outstanding: true, outstandingSince: now, assumed: g.mayBeLate(now),
+	}
 	g.outstanding++
 	g.actions.Deliver(seg.Packet)
 }
--- a/core/coord/gate/outbound.go
+++ b/core/coord/gate/outbound.go
@@ -62,7 +62,7 @@
 	f.phase = open
 	g.openFlows++
 	d := relay.Decision{Event: event, Flow: id, Peer: f.balancer, Age: now.Sub(f.createdAt), Count: g.openFlows}
-	if event == relay.EventDiscovered {
+	if event == relay.EventDiscovered || f.assumed {
 		d.Evidence = f.evidence()
 	}
 	g.actions.OnDecision(d)
--- a/core/coord/relay/decision.go
+++ b/core/coord/relay/decision.go
@@ -91,7 +91,7 @@
 	// not replied, flows in the queue, or open flows.
 	Count int
 	// Evidence is what the location rests on that the decision is about, for EventDiscovered, EventFound,
-	// EventRelocated and an EventReset without a search.
+	// EventRelocated, an EventAccepted that is assumed, and an EventReset without a search.
 	Evidence Evidence
 	// Unasked is how many running agents a search left out, since their targets were taken not to hold the flow, for an EventReset.
 	Unasked int
