steer: an opening packet that waited in a frozen balancer is looked up first

Cause: first opening packets are placed at once, only copies are looked up at the owners. One that waited while the balancer was frozen is placed at another target, and when that is gone the flow is reset.

Change: an opening packet that is handled within 0.5 s after a pause is looked up like a copy. The detection moves from gate to relay.PauseDetector, which both use.

Cost: two lookups for each flow that opens within 0.5 s after a pause; store calls 0; a time and a flag.

--- a/core/coord/gate/gate.go
+++ b/core/coord/gate/gate.go
@@ -77,10 +77,6 @@
 	// objectiveFraction is the fraction of the latency objective within which a new request is expected to be answered, so that
 	// most are answered within the whole objective.
 	objectiveFraction = 0.6
-	// maxTickGap is the time between two ticks above which the process counts as paused in between: a few times TickPeriod.
-	maxTickGap = 250 * time.Millisecond
-	// resumptionTime is how long after a pause packets that arrived during it may still be waiting to be handled.
-	resumptionTime = 500 * time.Millisecond
 	// maxFirstAcknowledged is how far, in sequence numbers, the client's first acknowledgement may be ahead of the target's opening packet: a
 	// target has at most 16 packets of 1,200 bytes in flight.
 	maxFirstAcknowledged = 1 + 16*1200
@@ -116,9 +112,7 @@
 	// meanOutstanding is the moving average of outstanding over meanOutstandingWindow.
 	meanOutstanding float64
 	lastTick        time.Time
-	// resumedAt is when the process was last found to have been paused; resumed is true until the next event if it just was.
-	resumedAt time.Time
-	resumed   bool
+	pauses          relay.PauseDetector
 	// serviceTime estimates the target's service time.
 	serviceTime serviceTimer
 	// objective is the latency objective of the most recently offered flow; zero if unknown.
@@ -218,6 +212,7 @@
 		flows:             make(map[state.FlowID]*flow),
 		mayMissFlowsUntil: now.Add(settings.FlowTTL),
 		lastTick:          now,
+		pauses:            relay.NewPauseDetector(now),
 		warmup:            warmup.New(now, settings.Warmup),
 	}
 }
--- a/core/coord/gate/inbound.go
+++ b/core/coord/gate/inbound.go
@@ -70,7 +70,7 @@
 	}
 	g.countNewFlow(now)
 	g.flows[seg.Flow] = &flow{
-		phase: offered, balancer: from, createdAt: now, lastPacket: now, outstanding: true, outstandingSince: now, assumed: g.mayBeLate(now),
+		phase: offered, balancer: from, createdAt: now, lastPacket: now, outstanding: true, outstandingSince: now, assumed: g.pauses.MayBeLate(now),
 	}
 	g.outstanding++
 	g.actions.Deliver(seg.Packet)
--- a/core/coord/gate/tick.go
+++ b/core/coord/gate/tick.go
@@ -12,8 +12,8 @@
 	g.monitorTarget(now)
 	g.meanOutstanding += (float64(g.outstanding) - g.meanOutstanding) *
 		min(1, float64(now.Sub(g.lastTick))/float64(meanOutstandingWindow))
-	g.detectPause(now)
 	g.lastTick = now
+	g.pauses.Tick(now)
 	g.expireFlows(now)
 	g.reportWarmupProgress(now)
 	if !now.Before(g.nextReport) {
@@ -107,19 +107,5 @@
 func (g *Gate) ProcessPaused(gap time.Duration) {
 	g.target.lastHeartbeat = g.target.lastHeartbeat.Add(gap)
 	g.target.lastOutbound = g.target.lastOutbound.Add(gap)
-	g.resumed = true
-}
-
-// detectPause records that the process was paused, if it was told so or has not ticked for too long.
-func (g *Gate) detectPause(now time.Time) {
-	if g.resumed || now.Sub(g.lastTick) > maxTickGap {
-		g.resumedAt = now
-		g.resumed = false
-	}
-}
-
-// mayBeLate reports whether a packet that is handled now may have waited while the process was paused.
-func (g *Gate) mayBeLate(now time.Time) bool {
-	g.detectPause(now)
-	return !g.resumedAt.IsZero() && now.Sub(g.resumedAt) < resumptionTime
+	g.pauses.Paused()
 }
--- a/core/coord/steer/search_test.go
+++ b/core/coord/steer/search_test.go
@@ -279,3 +279,16 @@
 	h.is.Equal(last.Count, 2)
 	h.is.Equal(last.Unasked, 0)
 }
+
+// Guards against a balancer that was frozen and then offers flows whose opening packets waited meanwhile. Their clients have opened them
+// through other balancers, so its placement is wrong; once the target there is gone it resets a flow that is held elsewhere.
+func TestOpeningPacketThatWaitedIsLookedUpFirst(t *testing.T) {
+	h := newHarness(t)
+	h.settle(1, 2, 3)
+	h.b.SetBalancers([]netip.AddrPort{self, otherBalancer})
+	h.now = h.now.Add(2 * time.Second)
+	h.b.ProcessPaused(2 * time.Second)
+	h.b.HandlePacket(h.now, openingSegment(flow(1), 0))
+	h.is.Equal(h.count(relay.KindOpen), 0)
+	h.is.Equal(h.count(relay.KindLookup), 1)
+}
--- a/core/coord/steer/steer.go
+++ b/core/coord/steer/steer.go
@@ -73,6 +73,7 @@
 	nodeHeardAt time.Time
 	// evacuations says to which data centres no new flow may be sent.
 	evacuations evacuations
+	pauses      relay.PauseDetector
 }
 
 // placement is the target that a flow is assigned to, or at which it is known to be open.
@@ -103,6 +104,7 @@
 		searches:     newSearches(now),
 		started:      now,
 		evacuations:  evacuations{pending: settings.Evacuation},
+		pauses:       relay.NewPauseDetector(now),
 	}
 	b.queue = queue.New(func(service state.ServiceName) time.Duration { return b.targets.serviceTimes[service] })
 	return b
@@ -145,7 +147,8 @@
 }
 
 // HandlePacket handles a packet of a client. Open flows are forwarded even before the first configuration, since that
-// decides only where new flows go.
+// decides only where new flows go. A copy of an opening packet, or one that may have waited while this process was paused, is looked up at the
+// owners first: the flow may have opened through another balancer.
 func (b *Balancer) HandlePacket(now time.Time, seg state.Segment) {
 	route, ok := b.config.Routes[seg.Flow.Virtual]
 	if !ok && b.config.Version != 0 {
@@ -171,7 +174,7 @@
 	switch {
 	case seg.Opens && (b.config.Version == 0 || b.evacuations.pending):
 		b.enqueue(now, seg, &placement{}, relay.ReasonNotReady)
-	case seg.Opens && seg.Acknowledged == 0:
+	case seg.Opens && seg.Acknowledged == 0 && !b.pauses.MayBeLate(now):
 		b.place(now, route, seg, &placement{since: now})
 	default:
 		b.startSearch(now, seg, nil)
@@ -251,6 +254,7 @@
 
 // Tick handles timeouts and other periodic work. It must be called at least every TickPeriod.
 func (b *Balancer) Tick(now time.Time) {
+	b.pauses.Tick(now)
 	b.updateResponsiveness(now)
 	for _, s := range b.searches.byFlow {
 		if !now.Before(s.deadline) {
--- a/core/coord/steer/target.go
+++ b/core/coord/steer/target.go
@@ -270,6 +270,7 @@
 	if !b.nodeHeardAt.IsZero() {
 		b.nodeHeardAt = b.nodeHeardAt.Add(gap)
 	}
+	b.pauses.Paused()
 }
 
 // mostAgentsResponsive reports whether enough running agents have been responsive for long enough to conclude that an unresponsive
