steer: tests of searches and of losses share their steps

Three tests ended a search with the same ten lines (endSearch), two kinds of events chose their agent by the same condition (agentToLose). All assertions stay; the tests of steer pass, TestExploredLostTargets, TestExploredLostTargetsAreTold and TestExploredLostInstances with the same orders. The node program is the same, byte for byte.

--- a/core/coord/steer/evidence_test.go
+++ b/core/coord/steer/evidence_test.go
@@ -34,6 +34,19 @@
 	return forwarded.to
 }
 
+// endSearch lets the last agent of the search for flow 1 say that its target holds the flow, or that it does not. The flow must then be
+// forwarded to that agent, or reset.
+func (h *harness) endSearch(last byte, held bool) {
+	if held {
+		h.receiveLocation(agent(last), agent(last), flow(1))
+		h.b.HandlePacket(h.now, dataSegment(flow(1)))
+		h.is.Equal(h.lastForwarded(), agent(last))
+	} else {
+		h.receiveNotFound(agent(last), flow(1), noPacket)
+	}
+	h.is.Equal(len(h.resets) == 0, held)
+}
+
 // Guards against an agent that took the silence of a lost target for "open here", and whose word for that kept out the word of the agent
 // whose target holds the flow (review/7).
 func TestConfirmedLocationReplacesAnAssumedOne(t *testing.T) {
@@ -75,14 +88,7 @@
 		h.is.Equal(len(h.resets), 0)
 		h.is.Equal(h.count(relay.KindProbe), 2)
 		h.receiveNotFound(agent(2), flow(1), noPacket)
-		if held {
-			h.receiveLocation(agent(3), agent(3), flow(1))
-			h.b.HandlePacket(h.now, dataSegment(flow(1)))
-			h.is.Equal(h.lastForwarded(), agent(3))
-		} else {
-			h.receiveNotFound(agent(3), flow(1), noPacket)
-		}
-		h.is.Equal(len(h.resets) == 0, held)
+		h.endSearch(3, held)
 	}
 }
 
@@ -119,14 +125,7 @@
 		h.receiveAssumption(otherBalancer, agent(1), flow(1))
 		h.is.Equal(h.count(relay.KindData), 0)
 		h.is.Equal(h.count(relay.KindProbe), 1)
-		if held {
-			h.receiveLocation(agent(2), agent(2), flow(1))
-			h.b.HandlePacket(h.now, dataSegment(flow(1)))
-			h.is.Equal(h.lastForwarded(), agent(2))
-		} else {
-			h.receiveNotFound(agent(2), flow(1), noPacket)
-		}
-		h.is.Equal(len(h.resets) == 0, held)
+		h.endSearch(2, held)
 	}
 }
 
@@ -170,14 +169,7 @@
 		h.is.Equal(len(h.resets), 0)
 		h.is.Equal(h.count(relay.KindProbe), 2)
 		h.receiveNotFound(agent(others[0]), flow(1), noPacket)
-		if held {
-			h.receiveLocation(agent(others[1]), agent(others[1]), flow(1))
-			h.b.HandlePacket(h.now, dataSegment(flow(1)))
-			h.is.Equal(h.lastForwarded(), agent(others[1]))
-		} else {
-			h.receiveNotFound(agent(others[1]), flow(1), noPacket)
-		}
-		h.is.Equal(len(h.resets) == 0, held)
+		h.endSearch(others[1], held)
 	}
 }
 
--- a/core/coord/steer/exploreorders_test.go
+++ b/core/coord/steer/exploreorders_test.go
@@ -147,16 +147,16 @@
 		return true
 	}},
 	{"lose a target, then its instance", func(f *exploredFleet) bool {
-		a := f.agents[0]
-		if a.process == nil || a.target == nil || a.removed || !a.frozenAt.IsZero() {
+		a := f.agentToLose()
+		if a == nil {
 			return false
 		}
 		a.loseTarget()
 		return true
 	}},
 	{"lose an instance while flows open", func(f *exploredFleet) bool {
-		a := f.agents[0]
-		if a.process == nil || a.target == nil || a.removed || !a.frozenAt.IsZero() {
+		a := f.agentToLose()
+		if a == nil {
 			return false
 		}
 		f.open()
@@ -178,6 +178,15 @@
 	}
 }
 
+// agentToLose returns the agent whose target or instance may be lost, if both run.
+func (f *exploredFleet) agentToLose() *exploredAgent {
+	a := f.agents[0]
+	if a.process == nil || a.target == nil || a.removed || !a.frozenAt.IsZero() {
+		return nil
+	}
+	return a
+}
+
 // exploredGroup is a group of orders.
 type exploredGroup struct {
 	kinds []exploredEvent
