--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -53,6 +53,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
+	w.stopOnSignal(exitFailed)
 	err = plays[os.Args[1]](w, os.Getenv("TROUBLE") != "0")
 	w.stop()
 	r.note("%d requests answered", w.answered.Load())
--- a/review/stand3/world.go
+++ b/review/stand3/world.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -276,6 +277,23 @@
 	_ = w.group.Wait()
 }
 
+// stopOnSignal makes the program end the processes that it has started, and itself, when it is told to stop.
+func (w *world) stopOnSignal(exitCode int) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	w.group.Go("signals", func(ctx context.Context) error {
+		select {
+		case <-signals:
+			for _, m := range w.present() {
+				_ = m.cmd.Process.Kill()
+			}
+			os.Exit(exitCode)
+		case <-ctx.Done():
+		}
+		return nil
+	})
+}
+
 // maintainRotation asks every balancer twice a second whether it is ready. After two misses a balancer is out of rotation.
 func (w *world) maintainRotation(ctx context.Context) error {
 	misses := make(map[string]int)
