--- a/review/stand3/cases.go
+++ b/review/stand3/cases.go
@@ -81,13 +81,14 @@
 				return err
 			}
 		}
-		time.Sleep(time.Until(crashedAt.Add(crashTime)))
-		for _, e := range crashed {
-			again, err := w.startEndpoint(e.machine, e.id+"-again")
-			if err != nil {
-				return err
+		w.group.Task(func() {
+			time.Sleep(time.Until(crashedAt.Add(crashTime)))
+			for _, e := range crashed {
+				w.comeBack(e)
 			}
-			w.endpoints = append(w.endpoints, again)
+		})
+		if round == 0 {
+			time.Sleep(time.Until(crashedAt.Add(crashTime + time.Second)))
 		}
 	}
 	if err := w.release(6); err != nil {
@@ -97,6 +98,18 @@
 	return nil
 }
 
+// comeBack starts an endpoint again that has crashed, under another id. It takes part in no later step of the case.
+func (w *world) comeBack(crashed *endpoint) {
+	e, err := w.startEndpoint(crashed.machine, crashed.id+"-again")
+	if err != nil {
+		w.record.note("%s is not back: %v", crashed.id, err)
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.returned = append(w.returned, e)
+}
+
 // crashTime is how long an endpoint that crashes is down.
 const crashTime = 4500 * time.Millisecond
 
@@ -122,10 +135,16 @@
 	}
 }
 
-// release replaces the first endpoints: the new ones start first, on machines of their own, and the old ones drain.
+// The pace of a release: releaseStep endpoints at a time, with releaseGap between.
+const (
+	releaseStep = 2
+	releaseGap  = time.Second
+)
+
+// release replaces the first endpoints, releaseStep at a time: the new ones start first, on machines of their own, and the old ones drain.
 func (w *world) release(count int) error {
-	old := slices.Clone(w.endpoints[:count])
 	const host = 121
+	old := slices.Clone(w.endpoints[:count])
 	for i := range old {
 		m, err := w.addMachine("agent", fmt.Sprintf("side-%d", host+i), byte(host+i))
 		if err != nil {
@@ -136,13 +155,19 @@
 			return err
 		}
 		w.endpoints = append(w.endpoints, e)
+		if (i+1)%releaseStep > 0 {
+			continue
+		}
+		time.Sleep(releaseGap)
+		for _, o := range old[i+1-releaseStep : i+1] {
+			o.drain()
+		}
 	}
-	time.Sleep(heartbeatInterval)
-	for _, e := range old {
-		e.drain()
-	}
-	time.Sleep(heartbeatInterval + drainTime + 500*time.Millisecond)
-	for _, e := range old {
+	time.Sleep(heartbeatInterval + drainTime + 500*time.Millisecond - time.Duration(count/releaseStep-1)*releaseGap)
+	for i, e := range old {
+		if i > 0 && i%releaseStep == 0 {
+			time.Sleep(releaseGap)
+		}
 		e.end()
 		w.call(e.machine.at(controlPort), e.id, "deregister", nil)
 		w.remove(e.machine)
--- a/review/stand3/endpoint.go
+++ b/review/stand3/endpoint.go
@@ -55,9 +55,8 @@
 
 // startEndpoint starts an endpoint on a machine under an id.
 func (w *world) startEndpoint(m *machine, id string) (*endpoint, error) {
-	w.serial++
 	e := &endpoint{
-		world: w, machine: m, id: id, serial: w.serial, born: time.Now(), state: "ready", flows: make(map[flowKey]*heldFlow),
+		world: w, machine: m, id: id, serial: w.serial.Add(1), born: time.Now(), state: "ready", flows: make(map[flowKey]*heldFlow),
 	}
 	var err error
 	if e.conn, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(m.at(appPort))); err != nil {
@@ -67,6 +66,10 @@
 		return nil, err
 	}
 	e.ctx, e.cancel = context.WithCancel(w.group.Context())
+	context.AfterFunc(e.ctx, func() {
+		_ = e.conn.Close()
+		_ = e.health.Close()
+	})
 	w.group.Go("packets of an endpoint", e.receive)
 	w.group.Go("health of an endpoint", e.serveHealth)
 	w.group.Go("heartbeats", e.sendHeartbeats)
--- a/review/stand3/world.go
+++ b/review/stand3/world.go
@@ -74,13 +74,15 @@
 	// aimMs is the latency objective of the route.
 	aimMs int
 	// serial is the number of the last endpoint.
-	serial uint32
+	serial atomic.Uint32
 
 	endpoints []*endpoint
 	answered  atomic.Int64
 
 	mu       sync.Mutex
 	machines []*machine
+	// returned has the endpoints that came back after a crash.
+	returned []*endpoint
 	// rotation has the balancers to which the routers send packets.
 	rotation []netip.AddrPort
 	// polledAt is when the routers last asked all balancers.
@@ -369,7 +371,10 @@
 
 // holder returns the endpoint at which a flow is open; nil if there is none.
 func (w *world) holder(k flowKey) *endpoint {
-	for _, e := range w.endpoints {
+	w.mu.Lock()
+	all := slices.Concat(w.endpoints, w.returned)
+	w.mu.Unlock()
+	for _, e := range all {
 		if e.holds(k) {
 			return e
 		}
