--- a/review/stand3/cases.go
+++ b/review/stand3/cases.go
@@ -63,7 +63,7 @@
 func playQueued(w *world, trouble bool) error {
 	w.checkResets()
 	w.slots, w.workTime = 7, 55*time.Millisecond
-	if err := w.deploy(6, 14, 40, 140, 11*time.Second); err != nil {
+	if err := w.deploy(6, 15, 40, 140, 11*time.Second); err != nil {
 		return err
 	}
 	for round := range 2 {
